--- a/medlarhoist/core/answer.py
+++ b/medlarhoist/core/answer.py
@@ -9,11 +9,12 @@
 
 from medlarhoist.core.command import MoveState, Outcome
 from medlarhoist.core.event import Event
-from medlarhoist.core.resource import Change
+from medlarhoist.core.resource import Change, Resource
 from medlarhoist.core.state import Entry
 from medlarhoist.core.verdict import Verdict
 
 CHANGES_LIMIT: Final = 1000
+REVISION_LIMIT: Final = 2**62
 
 RequestId = Annotated[str, Meta(pattern='^[A-Za-z0-9._-]{8,64}$')]
 Changes = Annotated[
@@ -34,6 +35,41 @@
     changes: Changes
 
 
+RevisionNumber = Annotated[int, Meta(ge=0, le=REVISION_LIMIT)]
+
+
+class ReplaceRequest(Struct, frozen=True, kw_only=True):
+    """Body of PUT /v1/configuration.
+
+    Args:
+        request_id: chosen by the operator's tool; the same in a resend.
+        revision: the operator's own number of the configuration.
+        base: revision that it builds on, zero for none.
+        resources: the whole configuration, without moves.
+        document: kept with it and given back unchanged.
+    """
+
+    request_id: RequestId
+    revision: RevisionNumber
+    base: RevisionNumber
+    resources: tuple[Resource, ...]
+    document: str
+
+
+class ConfigurationAnswer(Struct, frozen=True, kw_only=True):
+    """Answer of GET /v1/configuration.
+
+    Args:
+        revision: the operator's own number, zero where none was put yet.
+        version: configuration version in force.
+        document: what the operator sent.
+    """
+
+    revision: int
+    version: int
+    document: str
+
+
 class ApplyAnswer(Struct, frozen=True, kw_only=True):
     """Answer of POST /v1/apply and GET /v1/requests/ID.
 
--- a/medlarhoist/core/check.py
+++ b/medlarhoist/core/check.py
@@ -12,17 +12,30 @@
 
 from msgspec import Struct
 
-from medlarhoist.core.resource import Fault, Route, Service, TargetVersion
+from medlarhoist.core.resource import (
+    CALLERS,
+    Fault,
+    Limits,
+    Route,
+    Service,
+    TargetVersion,
+)
 from medlarhoist.core.snapshot import FULL_SHARE, Share, Snapshot
 
 SLOTS_LIMIT: Final = 10_000
 CONNECTIONS_LIMIT: Final = 100_000
 TIMEOUT_LIMIT_MS: Final = 600_000
 PREFIX_LIMIT_BYTES: Final = 512
+ATTEMPTS_LIMIT: Final = 100
+WEIGHT_LIMIT: Final = 1_000_000
+PRIORITY_LIMIT: Final = 1000
+HEAD_LIMIT_BYTES: Final = 1_048_576
+BODY_LIMIT_BYTES: Final = 1_099_511_627_776
 RECORDS_REMEMBERED: Final = 32_768
 
 _NAME: Final = re.compile(r'[a-z0-9][a-z0-9.-]{0,62}')
-_PREFIX: Final = re.compile(r"/|(/[A-Za-z0-9._~!$&'()*+,;=:@%-]+)+")
+_PREFIX: Final = re.compile(r"/|(/[A-Za-z0-9._~!$&'()*+,;=:@%-]+)+/?")
+_HOST: Final = re.compile('([a-z0-9_-]+[.])*[a-z0-9_-]+')
 _NAME_RULE: Final = 'lower-case letters, digits, dots and dashes, at most 63'
 
 Messages = tuple[str, ...]
@@ -59,13 +72,14 @@
             names,
         ),
         *_check_shares(snapshot.shares, names),
+        *_check_each('limits', snapshot.limits, _refer_nothing, names),
         *_check_prefixes(snapshot.routes),
     ]
     return tuple(faults)
 
 
 def check_record(
-    record: Service | Route | TargetVersion,
+    record: Service | Route | TargetVersion | Limits,
     names: Names,
 ) -> Messages:
     """Return what is wrong with a record, its order and prefix aside."""
@@ -123,11 +137,13 @@
 
 
 @lru_cache(maxsize=RECORDS_REMEMBERED)
-def _check_alone(record: Service | Route | TargetVersion) -> Messages:
+def _check_alone(record: Service | Route | TargetVersion | Limits) -> Messages:
     if isinstance(record, Service):
         return _check_service(record)
     if isinstance(record, Route):
         return _check_route(record)
+    if isinstance(record, Limits):
+        return _check_limits(record)
     return _check_target_version(record)
 
 
@@ -143,11 +159,63 @@
 def _check_route(route: Route) -> Messages:
     return (
         *check_name('name', route.name),
-        *check_range('timeout_ms', route.timeout_ms, 1, TIMEOUT_LIMIT_MS),
+        *_check_numbers(route),
+        *_check_host(route.host),
         *_check_prefix(route.prefix),
+        *_check_split(route),
+    )
+
+
+def _check_numbers(route: Route) -> Messages:
+    return (
+        *check_range('timeout_ms', route.timeout_ms, 1, TIMEOUT_LIMIT_MS),
+        *check_range('objective_ms', route.objective_ms, 0, TIMEOUT_LIMIT_MS),
+        *check_range('attempts', route.attempts, 1, ATTEMPTS_LIMIT),
+        *check_range('priority', route.priority, 0, PRIORITY_LIMIT),
     )
 
 
+def _check_host(host: str) -> Messages:
+    if not host or _HOST.fullmatch(host):
+        return ()
+    return (f'host: {host!r} is no host name in lower case',)
+
+
+def _check_split(route: Route) -> Messages:
+    if not route.split:
+        return () if route.service else ('service: is empty',)
+    if route.service:
+        return ('split: stands beside a service',)
+    names = [part.service for part in route.split]
+    weights = [part.weight for part in route.split]
+    messages = [
+        message
+        for weight in weights
+        for message in check_range('weight', weight, 0, WEIGHT_LIMIT)
+    ]
+    if len(set(names)) < len(names):
+        messages.append('split: names a service twice')
+    if not sum(weights):
+        messages.append('split: the weights add up to zero')
+    return tuple(messages)
+
+
+def _check_limits(limits: Limits) -> Messages:
+    messages = (
+        *check_range('head_bytes', limits.head_bytes, 1, HEAD_LIMIT_BYTES),
+        *check_range('body_bytes', limits.body_bytes, 0, BODY_LIMIT_BYTES),
+        *_check_time('head_timeout_ms', limits.head_timeout_ms),
+        *_check_time('idle_timeout_ms', limits.idle_timeout_ms),
+    )
+    if limits.name == CALLERS:
+        return messages
+    return (*messages, f'name: {limits.name!r} is not {CALLERS!r}')
+
+
+def _check_time(field: str, time_ms: int) -> Messages:
+    return check_range(field, time_ms, 1, TIMEOUT_LIMIT_MS)
+
+
 def _check_prefix(prefix: str) -> Messages:
     if len(prefix) > PREFIX_LIMIT_BYTES:
         return (f'prefix: longer than {PREFIX_LIMIT_BYTES} bytes',)
@@ -165,11 +233,21 @@
 
 
 def _refer_service(service: Service, names: Names) -> Messages:
+    if not service.current:
+        return ()
     return _refer_version('current', service.name, service.current, names)
 
 
 def _refer_route(route: Route, names: Names) -> Messages:
-    return _refer_to_service(route.service, names)
+    return tuple(
+        message
+        for service in route.services
+        for message in _refer_to_service(service, names)
+    )
+
+
+def _refer_nothing(limits: Limits, names: Names) -> Messages:
+    return ()
 
 
 def _refer_target_version(version: TargetVersion, names: Names) -> Messages:
@@ -207,9 +285,9 @@
 
 
 def _check_prefixes(routes: Iterable[Route]) -> Iterator[Fault]:
-    owners: dict[str, str] = {}
+    owners: dict[tuple[str, str], str] = {}
     for route in routes:
-        owner = owners.setdefault(route.prefix, route.name)
+        owner = owners.setdefault((route.host, route.prefix), route.name)
         if owner != route.name:
             message = f'prefix: {route.prefix!r} belongs to route/{owner}'
             yield Fault(source=f'route/{route.name}', message=message)
@@ -219,4 +297,5 @@
     Service: _refer_service,
     Route: _refer_route,
     TargetVersion: _refer_target_version,
+    Limits: _refer_nothing,
 }
--- a/medlarhoist/core/check_changed.py
+++ b/medlarhoist/core/check_changed.py
@@ -12,10 +12,9 @@
 from medlarhoist.core.check import Names, check_record, check_share
 from medlarhoist.core.compile_diff import (
     Difference,
-    Records,
     SnapshotDifference,
 )
-from medlarhoist.core.resource import Service, TargetVersion
+from medlarhoist.core.resource import Limits, Route, Service, TargetVersion
 from medlarhoist.core.snapshot import Share, Snapshot
 
 _NAME: Final = attrgetter('name')
@@ -66,14 +65,15 @@
 ) -> Iterator[Any]:
     yield from difference.routes.put
     yield from difference.target_versions.put
+    yield from difference.limits.put
     missing = _missing_services(services, difference.services)
     if missing:
-        yield from _referrers(snapshot.routes, missing)
-        yield from _referrers(snapshot.target_versions, missing)
-
-
-def _referrers(records: Records, services: set[str]) -> Iterator[Any]:
-    return (record for record in records if record.service in services)
+        for route in snapshot.routes:
+            if not missing.isdisjoint(route.services):
+                yield route
+        for version in snapshot.target_versions:
+            if version.service in missing:
+                yield version
 
 
 def _missing_services(
@@ -98,7 +98,7 @@
     services: dict[str, Service],
     records: tuple[Any, ...],
 ) -> Names:
-    wanted = {_service_of(record) for record in records}
+    wanted = {name for record in records for name in _services_of(record)}
     versions = {name for record in records for name in _versions_of(record)}
     return Names(
         {name: services[name].current for name in wanted if name in services},
@@ -108,10 +108,14 @@
     )
 
 
-def _service_of(record: Any) -> str:
+def _services_of(record: Any) -> tuple[str, ...]:
     if isinstance(record, Service):
-        return record.name
-    return str(record.service)
+        return (record.name,)
+    if isinstance(record, Route):
+        return record.services
+    if isinstance(record, Limits):
+        return ()
+    return (str(record.service),)
 
 
 def _versions_of(record: Any) -> tuple[str, ...]:
--- a/medlarhoist/core/command.py
+++ b/medlarhoist/core/command.py
@@ -9,7 +9,7 @@
 
 from msgspec import Struct
 
-from medlarhoist.core.resource import Change, Fault
+from medlarhoist.core.resource import Change, Fault, Resource
 
 UNKNOWN_VERSION: Final = 0
 
@@ -52,6 +52,28 @@
     at_ms: int
 
 
+class Replace(Struct, frozen=True, kw_only=True, tag='replace'):
+    """An operator's whole configuration, in place of the one in force.
+
+    Args:
+        request_id: chosen by the operator tool; a resend has the same.
+        operator: name of the operator, for the audit log.
+        revision: the operator's own number of the configuration; grows.
+        base: revision that it builds on, zero for none.
+        resources: every service, route and limit; others are deleted.
+        document: what the operator sent, given back unchanged.
+        at_ms: time at the leader, milliseconds since 1970.
+    """
+
+    request_id: str
+    operator: str
+    revision: int
+    base: int
+    resources: tuple[Resource, ...]
+    document: bytes
+    at_ms: int
+
+
 class Activate(Struct, frozen=True, kw_only=True, tag='activate'):
     """Puts the staged version in force.
 
@@ -125,7 +147,7 @@
     at_ms: int
 
 
-Command = Apply | Activate | Abandon | StepMove | AssignKeepers
+Command = Apply | Replace | Activate | Abandon | StepMove | AssignKeepers
 
 
 class Outcome(Struct, frozen=True, kw_only=True):
--- a/medlarhoist/core/compile.py
+++ b/medlarhoist/core/compile.py
@@ -18,10 +18,11 @@
     compare_snapshots,
 )
 from medlarhoist.core.digest import digest_with_total, total_after, total_of
-from medlarhoist.core.resource import Fault, Route, Service
+from medlarhoist.core.resource import Fault, Limits, Route, Service
 from medlarhoist.core.snapshot import SCHEMA, Share, Snapshot
 
 MOSTLY_NEW_RECORDS: Final = 16
+NO_LIMITS: Final = Limits()
 
 
 class Indexes(Struct, frozen=True, kw_only=True):
@@ -29,19 +30,28 @@
 
     Args:
         services: services by name.
-        routes: routes by prefix.
+        routes: routes by host and prefix.
         shares: shares by service.
     """
 
     services: dict[str, Service]
-    routes: dict[str, Route]
+    routes: dict[tuple[str, str], Route]
     shares: dict[str, Share]
 
 
 class Compiled:
     """A configuration ready for use; never changed once made."""
 
-    __slots__ = ('_total', 'digest', 'routes', 'services', 'shares', 'snapshot')
+    __slots__ = (
+        '_total',
+        'digest',
+        'limits',
+        'routes',
+        'services',
+        'shares',
+        'snapshot',
+        'unsettled',
+    )
 
     def __init__(
         self,
@@ -65,6 +75,10 @@
         self.routes = known.routes
         self.services = known.services
         self.shares = known.shares
+        self.unsettled = frozenset(
+            one.name for one in snapshot.services if not one.current
+        )
+        self.limits = snapshot.limits[0] if snapshot.limits else NO_LIMITS
 
     @property
     def version(self) -> int:
@@ -76,21 +90,34 @@
         """Return the total of the records, of which the digest is made."""
         return total_of(self.snapshot) if self._total is None else self._total
 
-    def match(self, path: str) -> Route | None:
-        """Return the route with the longest prefix of whole path segments."""
-        prefix = path.partition('?')[0].rstrip('/') or '/'
-        while prefix not in self.routes:
-            if prefix == '/':
-                return None
-            prefix = prefix.rpartition('/')[0] or '/'
-        return self.routes[prefix]
+    def match(self, path: str, host: str = '') -> Route | None:
+        """Return the route with the longest prefix of whole path segments.
+
+        Args:
+            path: path of the request, with or without its query.
+            host: host that the request names, with or without a port.
+        """
+        name = host.partition(':')[0].lower()
+        bare = path.partition('?')[0]
+        route = self._match_on(name, bare) if name else None
+        return route or self._match_on('', bare)
+
+    def _match_on(self, host: str, path: str) -> Route | None:
+        prefix = path
+        while prefix:
+            route = self.routes.get((host, prefix))
+            if route is not None:
+                return route
+            is_below = prefix.endswith('/')
+            prefix = prefix[:-1] if is_below else _parent(prefix)
+        return None
 
 
 Compilation = tuple[Compiled | None, tuple[Fault, ...]]
-_Key = Callable[[Any], str]
+_Key = Callable[[Any], Any]
 
 _name: Final[_Key] = attrgetter('name')
-_prefix: Final[_Key] = attrgetter('prefix')
+_prefix: Final[_Key] = attrgetter('host', 'prefix')
 _service: Final[_Key] = attrgetter('service')
 
 
@@ -159,6 +186,11 @@
     )
 
 
+def _parent(prefix: str) -> str:
+    """Return the folder of a path, with its slash."""
+    return prefix[: prefix.rfind('/') + 1]
+
+
 def _is_mostly_new(base: Snapshot, difference: SnapshotDifference) -> bool:
     put = sum(len(kind.put) for kind in difference.kinds)
     return put > len(base.routes) + MOSTLY_NEW_RECORDS
@@ -189,10 +221,10 @@
 
 
 def _change_index(
-    index: dict[str, Any],
+    index: dict[Any, Any],
     difference: Difference,
     key: _Key,
-) -> dict[str, Any]:
+) -> dict[Any, Any]:
     if not (difference.put or difference.gone):
         return index
     changed = index.copy()
--- a/medlarhoist/core/compile_diff.py
+++ b/medlarhoist/core/compile_diff.py
@@ -42,11 +42,18 @@
     routes: Difference
     target_versions: Difference
     shares: Difference
+    limits: Difference
 
     @property
     def kinds(self) -> tuple[Difference, ...]:
         """Return the differences of all kinds."""
-        return (self.services, self.routes, self.target_versions, self.shares)
+        return (
+            self.services,
+            self.routes,
+            self.target_versions,
+            self.shares,
+            self.limits,
+        )
 
     @property
     def ordered(self) -> bool:
@@ -73,6 +80,7 @@
             _NAME,
         ),
         shares=_compare(before.shares, after.shares, _SERVICE),
+        limits=_compare(before.limits, after.limits, _NAME),
     )
 
 
--- a/medlarhoist/core/deadline.py
+++ b/medlarhoist/core/deadline.py
@@ -28,10 +28,10 @@
     Args:
         now: present time, seconds.
         value: the caller's header, if any.
-        timeout_ms: what holds without one, milliseconds.
+        timeout_ms: longest time of a call, milliseconds.
     """
     left_ms = parse_left_ms(value)
-    if left_ms is None:
+    if left_ms is None or left_ms > timeout_ms:
         left_ms = timeout_ms
     return now + left_ms / _MS_PER_SECOND
 
--- a/medlarhoist/core/delta.py
+++ b/medlarhoist/core/delta.py
@@ -12,6 +12,7 @@
 
 from medlarhoist.core.resource import (
     Fault,
+    Limits,
     Route,
     Service,
     TargetVersion,
@@ -31,10 +32,12 @@
         routes: routes put.
         target_versions: target versions put.
         shares: shares put.
+        limits: limits put.
         gone_services: names of services deleted.
         gone_routes: names of routes deleted.
         gone_target_versions: names of target versions deleted.
         gone_shares: services whose share was deleted.
+        gone_limits: names of limits deleted.
     """
 
     version: int
@@ -43,10 +46,12 @@
     routes: tuple[Route, ...] = ()
     target_versions: tuple[TargetVersion, ...] = ()
     shares: tuple[Share, ...] = ()
+    limits: tuple[Limits, ...] = ()
     gone_services: tuple[str, ...] = ()
     gone_routes: tuple[str, ...] = ()
     gone_target_versions: tuple[str, ...] = ()
     gone_shares: tuple[str, ...] = ()
+    gone_limits: tuple[str, ...] = ()
 
 
 _DECODER: Final = msgpack.Decoder(SnapshotChanges)
@@ -59,6 +64,7 @@
     routes = _compare(base.routes, result.routes, _name)
     versions = _compare(base.target_versions, result.target_versions, _name)
     shares = _compare(base.shares, result.shares, _share_name)
+    limits = _compare(base.limits, result.limits, _name)
     changes = SnapshotChanges(
         version=result.version,
         schema=result.schema,
@@ -66,10 +72,12 @@
         routes=routes[0],
         target_versions=versions[0],
         shares=shares[0],
+        limits=limits[0],
         gone_services=services[1],
         gone_routes=routes[1],
         gone_target_versions=versions[1],
         gone_shares=shares[1],
+        gone_limits=limits[1],
     )
     return _ENCODER.encode(changes)
 
@@ -111,6 +119,7 @@
         shares=_merge(
             base.shares, changes.shares, changes.gone_shares, _share_name
         ),
+        limits=_merge(base.limits, changes.limits, changes.gone_limits, _name),
     )
 
 
--- /dev/null
+++ b/medlarhoist/core/dialect.py
@@ -0,0 +1,74 @@
+"""Dialect: the header names by which a node speaks with callers and targets.
+
+The names are settings of the node, so that a mesh whose callers and targets
+use other names needs no other code. An empty name turns a header off.
+"""
+
+from collections.abc import Sequence
+from typing import Final
+
+from msgspec import Struct
+
+from medlarhoist.core.hop import Header, find_header
+
+ERROR_STATUS: Final = 400
+_NO: Final = frozenset((b'', b'0', b'false'))
+
+
+class Dialect(Struct, frozen=True, kw_only=True):
+    """Header names, lower-case bytes, empty for none.
+
+    Args:
+        deadline: time left in milliseconds, from callers and to targets.
+        request_id: id of a caller's attempt, which targets echo.
+        origin: service beside the node where a request entered the mesh; set
+            by that node, whatever the caller sent.
+        expected_target: id of the run of a target that shall serve; another
+            run refuses.
+        refusal: set by targets on an answer that says that they did not run
+            the request.
+        refusal_statuses: answers by which a target says so without a header.
+    """
+
+    deadline: bytes = b'x-deadline-ms'
+    request_id: bytes = b''
+    origin: bytes = b''
+    expected_target: bytes = b''
+    refusal: bytes = b'x-did-not-run'
+    refusal_statuses: frozenset[int] = frozenset()
+
+
+DEFAULT_DIALECT: Final = Dialect()
+
+
+def drop_reserved(dialect: Dialect, headers: Sequence[Header]) -> list[Header]:
+    """Return a caller's headers without those that only nodes may set."""
+    reserved = {dialect.origin, dialect.expected_target, dialect.refusal}
+    return [header for header in headers if header[0] not in reserved]
+
+
+def is_refusal(
+    dialect: Dialect,
+    status: int,
+    headers: Sequence[Header],
+) -> bool:
+    """Say whether a target's answer tells that the request did not run."""
+    if status in dialect.refusal_statuses:
+        return True
+    told = find_header(headers, dialect.refusal)
+    return status >= ERROR_STATUS and told is not None and told not in _NO
+
+
+def is_crossed(
+    dialect: Dialect,
+    sent: Sequence[Header],
+    answered: Sequence[Header],
+) -> bool:
+    """Say whether an answer names another request than the one sent."""
+    if not dialect.request_id:
+        return False
+    echoed = find_header(answered, dialect.request_id)
+    return echoed is not None and echoed != find_header(
+        sent,
+        dialect.request_id,
+    )
--- a/medlarhoist/core/digest.py
+++ b/medlarhoist/core/digest.py
@@ -50,6 +50,7 @@
         snapshot.routes,
         snapshot.target_versions,
         snapshot.shares,
+        snapshot.limits,
     )
     return _sum_of(records) % _MODULUS
 
--- a/medlarhoist/core/hop_check.py
+++ b/medlarhoist/core/hop_check.py
@@ -39,11 +39,13 @@
         length: its length in bytes, zero for a chunked one.
         chunked: whether it comes in chunks.
         declared: whether the message says anything about its body.
+        until_close: whether the body ends with its connection.
     """
 
     length: int = 0
     chunked: bool = False
     declared: bool = False
+    until_close: bool = False
 
 
 class HeadFault(Struct, frozen=True):
--- a/medlarhoist/core/limit.py
+++ b/medlarhoist/core/limit.py
@@ -12,7 +12,7 @@
 
 SPILL_SHARE: Final = 0.7
 QUEUE_SHARE: Final = 0.5
-_START_ESTIMATE_S: Final = 0.01
+START_ESTIMATE_S: Final = 0.01
 
 
 class Admission(Enum):
@@ -36,7 +36,7 @@
     slots: int
     used: int
     waiting: int
-    busy_s: float = _START_ESTIMATE_S
+    busy_s: float = START_ESTIMATE_S
 
 
 def admit(load: Load, left_s: float, *, is_spilled: bool) -> Admission:
--- a/medlarhoist/core/settings.py
+++ b/medlarhoist/core/settings.py
@@ -121,6 +121,9 @@
         entry: address that callers send requests to (HTTP).
         peer: address that other nodes send calls to (HTTP).
         seeds: gossip addresses of a few nodes of the same failure domain.
+        service: service whose target runs on the same VM, empty where it is
+            not told; requests that enter here are marked with it.
+        heartbeat_ms: time between two notices of the target, milliseconds.
         logs: how it logs.
     """
 
@@ -134,6 +137,8 @@
     entry: Address
     peer: Address
     seeds: tuple[Address, ...] = ()
+    service: str = ''
+    heartbeat_ms: Annotated[int, Meta(ge=100, le=60_000)] = 1000
     logs: Logs = Logs()
 
 
--- a/medlarhoist/core/snapshot.py
+++ b/medlarhoist/core/snapshot.py
@@ -8,9 +8,9 @@
 
 from msgspec import Struct
 
-from medlarhoist.core.resource import Route, Service, TargetVersion
+from medlarhoist.core.resource import Limits, Route, Service, TargetVersion
 
-SCHEMA: Final = 1
+SCHEMA: Final = 2
 FULL_SHARE: Final = 10_000
 
 
@@ -42,6 +42,7 @@
         routes: every route.
         target_versions: every target version.
         shares: the split of each service that is moving.
+        limits: the limits of callers, at most one record.
     """
 
     version: int
@@ -50,6 +51,7 @@
     routes: tuple[Route, ...] = ()
     target_versions: tuple[TargetVersion, ...] = ()
     shares: tuple[Share, ...] = ()
+    limits: tuple[Limits, ...] = ()
 
 
 EMPTY: Final = Snapshot(version=0)
--- a/medlarhoist/core/state.py
+++ b/medlarhoist/core/state.py
@@ -25,6 +25,20 @@
     version: int
 
 
+class Revision(Struct, frozen=True, kw_only=True):
+    """The whole configuration that an operator put last.
+
+    Args:
+        number: the operator's own number, zero for none yet.
+        fingerprint: digest of the request, to know a resend by.
+        document: what the operator sent.
+    """
+
+    number: int = 0
+    fingerprint: str = ''
+    document: bytes = b''
+
+
 class Staged(Struct, frozen=True, kw_only=True):
     """A version that waits to be activated or abandoned.
 
@@ -35,6 +49,7 @@
         request_id: the operator request that waits for it, empty for a step
             of a move.
         at_ms: when it was staged, milliseconds since 1970.
+        revision: the operator's whole configuration, as it will be.
     """
 
     snapshot: Snapshot
@@ -42,6 +57,7 @@
     moves: dict[str, MoveState]
     request_id: str
     at_ms: int
+    revision: Revision = Revision()
 
 
 class State(Struct, frozen=True, kw_only=True):
@@ -56,6 +72,7 @@
         requests: outcomes of operator requests by request id, oldest first.
         keepers: the keeper sets by failure domain.
         events: the newest events, for watches.
+        revision: the operator's whole configuration in force.
     """
 
     last_version: int = 0
@@ -66,3 +83,4 @@
     requests: dict[str, Outcome] = field(default_factory=dict)
     keepers: dict[str, KeeperSet] = field(default_factory=dict)
     events: EventLog = EventLog()
+    revision: Revision = Revision()
--- a/medlarhoist/core/target.py
+++ b/medlarhoist/core/target.py
@@ -10,6 +10,7 @@
 
 MAX_PORT: Final = 65_535
 MAX_SLOTS: Final = 10_000
+LOOPBACK: Final = '127.0.0.1'
 ServiceName = Annotated[str, Meta(pattern='^[a-z0-9][a-z0-9.-]{0,62}$')]
 
 
@@ -51,13 +52,27 @@
     Args:
         service: name of its service.
         label: its version.
+        host: IP number that it listens on, of this VM.
         port: port on this VM that it listens on.
         slots: requests that it runs at the same time.
         phase: warming, ready or draining.
+        run_id: id of this run of the target, empty where it has none.
+        born_ms: when this run started, milliseconds since 1970; a notice of
+            an earlier run is late and ignored. Zero where it is not told.
+        sequence: grows with each notice of a run; a lower one is late.
     """
 
     service: ServiceName
     label: ServiceName
+    host: str = LOOPBACK
     port: Annotated[int, Meta(ge=1, le=MAX_PORT)]
     slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
     phase: TargetPhase
+    run_id: str = ''
+    born_ms: int = 0
+    sequence: int = 0
+
+    @property
+    def address(self) -> str:
+        """Return host:port that it listens on."""
+        return f'{self.host}:{self.port}'
--- a/medlarhoist/node/app.py
+++ b/medlarhoist/node/app.py
@@ -1,66 +1,37 @@
 """App: puts the parts of a node together and runs it until it is stopped."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
-from circuits import Component, Event
+from circuits import Component
 from loguru import logger
-from msgspec import Struct
-
-from medlarhoist.core.presence import (
-    Presence,
-    has_expired,
-    hear,
-    tell_target,
-)
+
+from medlarhoist.core.dialect import DEFAULT_DIALECT, Dialect
 from medlarhoist.core.settings import NodeSettings
 from medlarhoist.core.snapshot import Share
-from medlarhoist.core.target import TargetNotice
+from medlarhoist.node.announcer import Announcer
 from medlarhoist.node.clamp import create_clamp
 from medlarhoist.node.configuration import create_configuration
-from medlarhoist.node.distribution import (
-    DistributionView,
-    create_distribution,
-)
+from medlarhoist.node.distribution import create_distribution
 from medlarhoist.node.gossip import create_knowledge
 from medlarhoist.node.metrics import list_node_samples
 from medlarhoist.node.proxy import create_proxy
-from medlarhoist.node.proxy.proxy import ProxyDump
 from medlarhoist.node.recorder import create_recorder
 from medlarhoist.node.registry import create_registry
+from medlarhoist.node.view import NodeView
 from medlarhoist.utils.admin import create_admin
-from medlarhoist.utils.clock import monotonic_seconds, wall_ms
+from medlarhoist.utils.clock import wall_ms
 from medlarhoist.utils.logs import set_up_logs
 from medlarhoist.utils.loop import Host, create_host, run_until_stopped
 from medlarhoist.utils.metrics import Sample, create_metrics
+from medlarhoist.utils.web import Site
 from medlarhoist.wire.listener import close_server, start_server
 
-PRESENCE_POLL_SECONDS: Final = 0.25
 SPREAD_SECONDS: Final = 1.0
 
 
-class target_heard(Event):  # noqa: N801  circuits names events so
-    """The target beside this node has said where it stands."""
-
-
-class target_lost(Event):  # noqa: N801  circuits names events so
-    """The target beside this node has left or has gone silent."""
-
-
-class NodeView(Struct, frozen=True, kw_only=True):
-    """What a dump of a node shows."""
-
-    name: str
-    domain: str
-    role: str
-    version: int | None
-    presence: Presence
-    is_leaving: bool
-    distribution: DistributionView
-    proxy: ProxyDump
-    clamps: object
-    recorder: object
+CreateSites = Callable[[Host, 'NodeApp'], tuple[Site, ...]]
 
 
 class NodeApp(Component):  # noqa: WPS230  holds the parts of one process
@@ -68,7 +39,11 @@
 
     channel = 'node'
 
-    def __init__(self, cfg: NodeSettings) -> None:
+    def __init__(
+        self,
+        cfg: NodeSettings,
+        dialect: Dialect = DEFAULT_DIALECT,
+    ) -> None:
         """Create the parts; nothing listens yet."""
         super().__init__()
         knowledge = create_knowledge(cfg, wall_ms())
@@ -76,13 +51,19 @@
         self._configuration = create_configuration()
         self._registry = create_registry(knowledge)
         self._recorder = create_recorder(cfg.domain, wall_ms)
-        self._clamp = create_clamp(self._recorder, wall_ms, self._find_shares)
+        self._clamp = create_clamp(
+            self._recorder,
+            wall_ms,
+            self._find_shares,
+            self._find_unsettled,
+        )
         self._proxy = create_proxy(
             cfg,
             self._configuration,
             self._registry,
             self._recorder,
             self._clamp,
+            dialect,
         )
         self._distribution = create_distribution(
             cfg,
@@ -91,36 +72,17 @@
             knowledge,
             self._recorder,
         )
-        self._presence = Presence()
-        self._is_leaving = False
-
-    def hear_target(self, notice: TargetNotice) -> None:
-        """Take a notice from the admin listener."""
-        self.fire(target_heard(notice))
-
-    def lose_target(self) -> None:
-        """Take the leave of the target from the admin listener."""
-        self.fire(target_lost('it has left'))
-
-    def target_heard(self, notice: TargetNotice) -> None:
-        """Tell the domain and the proxy of the target."""
-        self._presence = hear(
-            self._presence,
-            notice,
-            monotonic_seconds(),
-            wall_ms(),
+        self.announcer = Announcer(
+            cfg,
+            self._registry,
+            self._proxy.set_local_target,
         )
-        self._proxy.set_local_target(notice)
-        self._announce()
-
-    def target_lost(self, reason: str) -> None:
-        """Withdraw the target."""
-        if self._presence.notice is None:
-            return
-        logger.info('target: no target any more, {}', reason)
-        self._presence = Presence()
-        self._proxy.set_local_target(None)
-        self._registry.withdraw()
+
+    @property
+    def is_ready(self) -> bool:
+        """Say whether callers are served: not before it has a configuration."""
+        has_one = self._configuration.active is not None
+        return has_one and not self.announcer.is_leaving
 
     def dump(self) -> NodeView:
         """Return the state of this process."""
@@ -130,15 +92,15 @@
             domain=self._cfg.domain,
             role='node',
             version=active.version if active else None,
-            presence=self._presence,
-            is_leaving=self._is_leaving,
+            presence=self.announcer.presence,
+            is_leaving=self.announcer.is_leaving,
             distribution=self._distribution.dump(),
             proxy=self._proxy.dump(),
             clamps=self._clamp.dump(),
             recorder=self._recorder.dump(),
         )
 
-    async def serve(self, host: Host) -> None:
+    async def serve(self, host: Host, create_sites: CreateSites) -> None:
         """Run until SIGTERM, then stop gracefully."""
         metrics = create_metrics()
         metrics.add(self._list_samples)
@@ -146,8 +108,8 @@
             host,
             self._cfg.admin,
             self.dump,
-            self.hear_target,
-            self.lose_target,
+            self.announcer.hear,
+            self.announcer.lose,
             metrics,
         )
         server = await start_server(
@@ -159,11 +121,13 @@
         await self._proxy.start()
         await self._distribution.start()
         await self._clamp.start()
-        watch = asyncio.ensure_future(self._watch_presence())
+        self.announcer.start()
+        sites = create_sites(host, self)
         await run_until_stopped(self._stop)
-        watch.cancel()
+        await self.announcer.stop()
         await close_server(server)
-        await site.stop()
+        for each in (site, *sites):
+            await each.stop()
 
     def _list_samples(self) -> Iterable[Sample]:
         return list_node_samples(
@@ -176,26 +140,15 @@
         active = self._configuration.active
         return active.shares if active else {}
 
-    def _announce(self) -> None:
-        target = tell_target(
-            self._cfg,
-            self._presence,
-            is_leaving=self._is_leaving,
-        )
-        if target is not None:
-            self._registry.announce(target)
-
-    async def _watch_presence(self) -> None:
-        while True:
-            await asyncio.sleep(PRESENCE_POLL_SECONDS)
-            if has_expired(self._presence, monotonic_seconds()):
-                self.fire(target_lost('it has missed its heartbeats'))
+    def _find_unsettled(self) -> frozenset[str]:
+        """Return the services whose current version nobody knows yet."""
+        active = self._configuration.active
+        return active.unsettled if active else frozenset()
 
     async def _stop(self) -> None:
         """Leave: others first hear of it, then calls end, then links."""
         logger.info('node: stops')
-        self._is_leaving = True
-        self._announce()
+        self.announcer.leave()
         await asyncio.sleep(SPREAD_SECONDS)
         await self._proxy.stop()
         await self._clamp.stop()
@@ -203,11 +156,26 @@
         logger.info('node: has stopped')
 
 
-async def serve_node(cfg: NodeSettings) -> int:
-    """Run a node until it is stopped and return its exit code."""
+def create_no_sites(host: Host, app: NodeApp) -> tuple[Site, ...]:
+    """Serve a node by its own listeners only."""
+    return ()
+
+
+async def serve_node(
+    cfg: NodeSettings,
+    dialect: Dialect = DEFAULT_DIALECT,
+    create_sites: CreateSites = create_no_sites,
+) -> int:
+    """Run a node until it is stopped and return its exit code.
+
+    Args:
+        cfg: its settings.
+        dialect: the headers of callers and targets.
+        create_sites: returns further listeners that serve the node.
+    """
     set_up_logs(cfg.logs, cfg.name)
     host = create_host(asyncio.get_running_loop())
-    app = NodeApp(cfg)
+    app = NodeApp(cfg, dialect)
     app.register(host)
-    await app.serve(host)
+    await app.serve(host, create_sites)
     return 0
--- a/medlarhoist/node/clamp.py
+++ b/medlarhoist/node/clamp.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import Final
 
 from loguru import logger
@@ -20,6 +20,7 @@
 TICK_S: Final = 0.1
 
 Shares = Callable[[], Mapping[str, Share]]
+Unsettled = Callable[[], Collection[str]]
 
 
 class _Watch:
@@ -46,18 +47,27 @@
 class Clamp:
     """Watches the moves in force and limits their shares."""
 
-    __slots__ = ('_clock', '_recorder', '_shares', '_tasks', '_watches')
+    __slots__ = (
+        '_clock',
+        '_recorder',
+        '_shares',
+        '_tasks',
+        '_unsettled',
+        '_watches',
+    )
 
     def __init__(
         self,
         recorder: Recorder,
         clock: Clock,
         shares: Shares,
+        unsettled: Unsettled,
     ) -> None:
         """Start with no move; the clock gives milliseconds since 1970."""
         self._recorder = recorder
         self._clock = clock
         self._shares = shares
+        self._unsettled = unsettled
         self._watches: dict[str, _Watch] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -73,7 +83,7 @@
         window = self._clock() // WINDOW_MS
         rows = self._recorder.cut()
         self._follow(self._shares(), window)
-        self._recorder.follow(self._watches)
+        self._recorder.follow({*self._watches, *self._unsettled()})
         for service, watch in self._watches.items():
             newest = [row for row in rows if row.key.service == service]
             if newest and not watch.reason:
@@ -148,7 +158,12 @@
             logger.exception('clamp: a tick failed: {}', exc)
 
 
-def create_clamp(recorder: Recorder, clock: Clock, shares: Shares) -> Clamp:
+def create_clamp(
+    recorder: Recorder,
+    clock: Clock,
+    shares: Shares,
+    unsettled: Unsettled = frozenset,
+) -> Clamp:
     """Return the limiter of the shares of a node.
 
     Args:
@@ -156,5 +171,7 @@
             services move.
         clock: returns milliseconds since 1970.
         shares: returns the shares in force by service.
+        unsettled: returns the services whose current version is not known;
+            the sources learn it from what their calls showed.
     """
-    return Clamp(recorder, clock, shares)
+    return Clamp(recorder, clock, shares, unsettled)
--- a/medlarhoist/node/proxy/call.py
+++ b/medlarhoist/node/proxy/call.py
@@ -3,8 +3,8 @@
 import time
 
 from medlarhoist.core.deadline import start_deadline
+from medlarhoist.core.dialect import Dialect, drop_reserved
 from medlarhoist.core.hop import (
-    CALLER_DEADLINE_HEADER,
     find_header,
     forward_headers,
 )
@@ -20,7 +20,8 @@
 
     Args:
         route: the route it matched.
-        label: version it goes to.
+        service: service it goes to.
+        label: version it goes to, empty for any.
         stable_label: version that may take it where the new one refuses.
         deadline: its end, seconds of the monotonic clock.
         request: what each attempt sends.
@@ -37,31 +38,40 @@
         'may_have_run',
         'request',
         'route',
+        'service',
         'source',
         'stable_label',
         'started',
         'tried',
     )
 
-    def __init__(self, exchange: Exchange, route: Route, label: str) -> None:
+    def __init__(
+        self,
+        exchange: Exchange,
+        route: Route,
+        service: str,
+        label: str,
+        dialect: Dialect,
+    ) -> None:
         """Start a call now."""
         head = exchange.head
         self.route = route
+        self.service = service
         self.label = label
         self.stable_label = label
         self.started = time.monotonic()
         self.deadline = start_deadline(
             self.started,
-            find_header(head.headers, CALLER_DEADLINE_HEADER),
+            find_header(head.headers, dialect.deadline),
             route.timeout_ms,
         )
         self.source = Source(exchange.body)
         self.tried: set[str] = set()
         self.may_have_run = False
         self.last: Target | None = None
-        headers = forward_headers(head.headers)
+        headers = drop_reserved(dialect, forward_headers(head.headers))
         if head.is_old and find_header(headers, b'host') is None:
-            headers.append((b'host', route.service.encode()))
+            headers.append((b'host', service.encode()))
         self.request = Request(
             head.method,
             head.url,
--- a/medlarhoist/node/proxy/client.py
+++ b/medlarhoist/node/proxy/client.py
@@ -162,6 +162,11 @@
         if self._reader.phase is Phase.HOLD and self._reader.has_bytes:
             self.cut()
 
+    def eof_received(self) -> bool:
+        """End an answer whose length only the connection tells, and close."""
+        self._reader.end_stream()
+        return False
+
     def pause_writing(self) -> None:
         """Let the request's body wait."""
         self._writable = asyncio.get_running_loop().create_future()
@@ -181,9 +186,6 @@
         answer = Answer(self, head)
         self._answer = answer
         has_none = self._method == b'HEAD' or head.status in _NO_BODY_STATUS
-        if not has_none and not head.framing.declared:
-            self._reader.break_off(HeadFault(502, 'answer without length'))
-            return False
         self._wake(answer)
         return not has_none
 
@@ -243,13 +245,8 @@
     def release(self) -> None:
         """Go back to the pool, or be cut where anything is open."""
         answer = self._answer
-        is_reusable = (
-            answer is not None
-            and answer.body.is_whole
-            and answer.head.keep_alive
-            and self._request_sent
-        )
-        if not is_reusable or not self._is_quiet:
+        is_whole = answer is not None and _allows_reuse(answer)
+        if not is_whole or not self._request_sent or not self._is_quiet:
             self.cut()
             return
         self._answer = None
@@ -307,6 +304,12 @@
             self._transport.abort()
 
 
+def _allows_reuse(answer: Answer) -> bool:
+    head = answer.head
+    ends_connection = head.framing.until_close or not head.keep_alive
+    return answer.body.is_whole and not ends_connection
+
+
 def _frame(piece: bytes, framing: Framing) -> bytes:
     if not framing.chunked:
         return piece
--- a/medlarhoist/node/proxy/entry.py
+++ b/medlarhoist/node/proxy/entry.py
@@ -7,12 +7,16 @@
 
 import asyncio
 import time
+from random import Random
 from typing import Final, Protocol
 
 from msgspec import Struct, structs
 
 from medlarhoist.core.budget import RetryBudget, earn, spend
 from medlarhoist.core.compile import Compiled
+from medlarhoist.core.dialect import Dialect
+from medlarhoist.core.hop import find_header
+from medlarhoist.core.split import Splitter
 from medlarhoist.core.target import Target
 from medlarhoist.core.verdict import Verdict, may_retry
 from medlarhoist.node.proxy.attempt import Failure
@@ -26,7 +30,6 @@
 from medlarhoist.node.proxy.relay import refuse, relay
 from medlarhoist.node.proxy.remote import Remote
 
-ATTEMPTS: Final = 4
 _MS_PER_SECOND: Final = 1000
 _NO_CONFIGURATION: Final = Failure(
     Verdict.DID_NOT_RUN,
@@ -52,6 +55,8 @@
         name: name of this node.
         domain: its failure domain.
         peer_address: address that other nodes send its target's calls to.
+        service: service beside this node, empty where it is not told.
+        dialect: the headers of callers and targets.
         configuration: the configuration in force.
         choice: picks versions and targets.
         local: the target beside this node.
@@ -62,6 +67,8 @@
     name: str
     domain: str
     peer_address: str
+    service: str
+    dialect: Dialect
     configuration: ConfigurationView
     choice: Choice
     local: LocalTarget
@@ -82,6 +89,7 @@
         '_count',
         '_parts',
         '_prefix',
+        '_splitter',
         'is_draining',
         'retries',
     )
@@ -91,6 +99,7 @@
         self._parts = parts
         self._budgets: dict[str, RetryBudget] = {}
         self._count = 0
+        self._splitter = Splitter(Random())  # noqa: S311  spreads load only
         started_ms = int(time.time() * _MS_PER_SECOND)
         self._prefix = f'{parts.name}-{started_ms:x}'
         self.is_draining = False
@@ -105,21 +114,27 @@
         if compiled is None:
             refuse(exchange, _NO_CONFIGURATION)
             return
-        route = compiled.match(exchange.head.url.decode('latin-1'))
+        head = exchange.head
+        host = find_header(head.headers, b'host') or b''
+        url = head.url.decode('latin-1')
+        route = compiled.match(url, host.decode('latin-1'))
         if route is None:
             refuse(exchange, _NO_ROUTE)
             return
-        service = compiled.services[route.service]
+        service = compiled.services[self._splitter.pick(route)]
         label = self._parts.choice.pick_label(compiled, service)
-        call = Call(exchange, route, label)
+        call = Call(exchange, route, service.name, label, self._parts.dialect)
+        if self._parts.dialect.origin:
+            origin = (self._parts.dialect.origin, self._parts.service.encode())
+            call.request.headers.append(origin)
         share = compiled.shares.get(service.name)
         if share is not None:
             call.stable_label = share.old
         await self._serve_call(exchange, call)
 
     async def _serve_call(self, exchange: Exchange, call: Call) -> None:
-        budget = self._budgets.get(call.route.service, RetryBudget())
-        self._budgets[call.route.service] = earn(budget)
+        budget = self._budgets.get(call.service, RetryBudget())
+        self._budgets[call.service] = earn(budget)
         try:
             async with asyncio.timeout_at(call.deadline):
                 failure = await self._try_targets(exchange, call)
@@ -146,7 +161,7 @@
     ) -> Failure | None:
         """Make attempts until one is answered; return the last failure."""
         failure = _NO_TARGET
-        for attempt in range(ATTEMPTS):
+        for attempt in range(call.route.attempts):
             if attempt and not self._may_try_again(call, failure):
                 return failure
             target = self._pick_target(call)
@@ -162,7 +177,7 @@
 
     def _pick_target(self, call: Call) -> Target | None:
         return self._parts.choice.pick_target(
-            call.route.service,
+            call.service,
             call.label,
             call.tried,
         )
@@ -189,10 +204,10 @@
 
     def _spend(self, call: Call) -> bool:
         """Take a retry from the budget; what reached nobody costs nothing."""
-        budget = spend(self._budgets[call.route.service])
+        budget = spend(self._budgets[call.service])
         if budget is None:
             return False
-        self._budgets[call.route.service] = budget
+        self._budgets[call.service] = budget
         return True
 
     async def _attempt(
@@ -221,7 +236,7 @@
         self._count += 1
         order = Order(
             request_id=f'{self._prefix}-{self._count}'.encode(),
-            service=call.route.service,
+            service=call.service,
             label=call.label,
             deadline=call.deadline,
             is_spilled=target.domain != self._parts.domain,
--- a/medlarhoist/node/proxy/head.py
+++ b/medlarhoist/node/proxy/head.py
@@ -33,12 +33,14 @@
 def parse_request_head(
     raw: bytes,
     pieces: Pieces,
+    limit: int = REQUEST_LIMIT_BYTES,
 ) -> tuple[Any, Head] | HeadFault:
     """Parse and check the head of a request.
 
     Args:
         raw: the head, its empty line included.
         pieces: takes what the parser finds, also later chunks.
+        limit: longest body, bytes.
 
     Returns:
         The parser, for chunks, and the head; or the fault.
@@ -56,7 +58,7 @@
     framing = find_framing(
         pieces.headers,
         is_old=is_old,
-        limit=REQUEST_LIMIT_BYTES,
+        limit=limit,
     )
     if isinstance(framing, HeadFault):
         return framing
@@ -78,6 +80,7 @@
 def parse_answer_head(
     raw: bytes,
     pieces: Pieces,
+    limit: int = ANSWER_LIMIT_BYTES,
 ) -> tuple[Any, Head] | HeadFault:
     """Parse and check the head of an answer; see parse_request_head."""
     fault = check_answer_head(raw)
@@ -90,10 +93,12 @@
     framing = find_framing(
         pieces.headers,
         is_old=is_old,
-        limit=ANSWER_LIMIT_BYTES,
+        limit=limit,
     )
     if isinstance(framing, HeadFault):
         return framing
+    if not framing.declared:
+        framing = Framing(until_close=True)
     return parser, Head(
         b'',
         b'',
--- a/medlarhoist/node/proxy/observer.py
+++ b/medlarhoist/node/proxy/observer.py
@@ -113,8 +113,8 @@
         refused: bool,
     ) -> None:
         self._recorder.record(
-            (call.route.service, call.route.name),
-            call.label,
+            (call.service, call.route.name),
+            call.last.label if call.last else call.label,
             succeeded=succeeded,
             refused=refused,
             latency_us=int(took_s * _US_PER_SECOND),
--- a/medlarhoist/node/proxy/proxy.py
+++ b/medlarhoist/node/proxy/proxy.py
@@ -9,8 +9,11 @@
 from msgspec import Struct
 
 from medlarhoist.core.balance import Place
+from medlarhoist.core.check import BODY_LIMIT_BYTES, HEAD_LIMIT_BYTES
+from medlarhoist.core.compile import NO_LIMITS
+from medlarhoist.core.dialect import DEFAULT_DIALECT, Dialect
 from medlarhoist.core.ports import CallRecorder, Registry, ShareLimiter
-from medlarhoist.core.resource import Service
+from medlarhoist.core.resource import Limits, Service
 from medlarhoist.core.settings import NodeSettings
 from medlarhoist.core.target import TargetNotice
 from medlarhoist.node.proxy.choice import Choice
@@ -26,6 +29,11 @@
 from medlarhoist.node.proxy.server import Listener
 
 SWEEP_S: Final = 1.0
+# What a caller may send was checked where it entered; nodes add headers.
+PEER_LIMITS: Final = Limits(
+    head_bytes=HEAD_LIMIT_BYTES,
+    body_bytes=BODY_LIMIT_BYTES,
+)
 STOP_LINGER_S: Final = 1.5
 LAST_REQUESTS_S: Final = 0.5
 STOP_LIMIT_S: Final = 60.0
@@ -104,10 +112,14 @@
         self._cfg = cfg
         self._parts = parts
         self._entry_service = EntryService(parts)
-        self._entry = Listener(self._entry_service.serve)
-        self._peer = Listener(peer_service.serve)
+        self._entry = Listener(self._entry_service.serve, self._find_limits)
+        self._peer = Listener(peer_service.serve, lambda: PEER_LIMITS)
         self._sweeper: asyncio.Task[None] | None = None
 
+    def _find_limits(self) -> Limits:
+        compiled = self._parts.configuration.active
+        return NO_LIMITS if compiled is None else compiled.limits
+
     @property
     def is_idle(self) -> bool:
         """Say whether no request is in progress."""
@@ -211,6 +223,7 @@
     registry: Registry,
     recorder: CallRecorder,
     limiter: ShareLimiter,
+    dialect: Dialect = DEFAULT_DIALECT,
 ) -> Proxy:
     """Return the proxy of a node, not yet started.
 
@@ -220,6 +233,7 @@
         registry: the live targets.
         recorder: takes what calls showed.
         limiter: lowers shares on local evidence.
+        dialect: the headers of callers and targets.
     """
     key = cfg.shared_key.encode()
     draw = Random()  # noqa: S311  picks targets, guards nothing
@@ -228,7 +242,7 @@
         compiled = configuration.active
         return compiled.services.get(name) if compiled else None
 
-    local = LocalTarget(find_service)
+    local = LocalTarget(find_service, dialect)
     choice = Choice(
         cfg.name,
         Place(cfg.domain, cfg.peer),
@@ -241,6 +255,8 @@
         name=cfg.name,
         domain=cfg.domain,
         peer_address=cfg.peer,
+        service=cfg.service,
+        dialect=dialect,
         configuration=configuration,
         choice=choice,
         local=local,
--- a/medlarhoist/node/proxy/reader.py
+++ b/medlarhoist/node/proxy/reader.py
@@ -98,7 +98,7 @@
         self.complete = True
 
 
-ParseHead = Callable[[bytes, Pieces], tuple[Any, Head] | HeadFault]
+ParseHead = Callable[[bytes, Pieces, int], tuple[Any, Head] | HeadFault]
 
 
 class Phase(Enum):
@@ -107,6 +107,7 @@
     HEAD = 'head'
     LENGTH = 'length'
     CHUNKS = 'chunks'
+    STREAM = 'stream'
     HOLD = 'hold'
     BROKEN = 'broken'
 
@@ -116,6 +117,7 @@
 
     __slots__ = (
         '_buffer',
+        '_head_limit',
         '_left',
         '_limit',
         '_parse',
@@ -133,6 +135,7 @@
         sink: Sink,
         phase: Phase,
         limit: int,
+        head_limit: int = HEAD_LIMIT_BYTES,
     ) -> None:
         """Start in a phase.
 
@@ -140,8 +143,10 @@
             parse: parses and checks a head.
             sink: takes what is found.
             phase: what the first byte belongs to.
-            limit: longest chunked body, bytes.
+            limit: longest body, bytes.
+            head_limit: longest head, bytes.
         """
+        self._head_limit = head_limit
         self._limit = limit
         self._parse = parse
         self._sink = sink
@@ -158,6 +163,20 @@
         """Say whether bytes of a next message wait."""
         return bool(self._buffer)
 
+    def set_limits(self, limit: int, head_limit: int) -> None:
+        """Change the limits of the messages to come, in bytes."""
+        self._limit = limit
+        self._head_limit = head_limit
+
+    def end_stream(self) -> None:
+        """Take the orderly end of the connection.
+
+        It ends a body whose length nothing else tells.
+        """
+        if self.phase is Phase.STREAM:
+            self.phase = Phase.HOLD
+            self._sink.on_end()
+
     def feed(self, received: bytes) -> None:
         """Take bytes from the connection."""
         if self.phase is Phase.BROKEN:
@@ -185,6 +204,8 @@
                 is_on = self._read_head()
             elif phase is Phase.LENGTH:
                 is_on = self._read_length()
+            elif phase is Phase.STREAM:
+                is_on = self._read_stream()
             else:
                 is_on = phase is Phase.CHUNKS and self._read_chunks()
             if not is_on:
@@ -193,7 +214,7 @@
     def _read_head(self) -> bool:
         end = self._buffer.find(HEAD_END, max(0, self._scanned - _TAIL_BYTES))
         size = end + len(HEAD_END) if end >= 0 else len(self._buffer)
-        if size > HEAD_LIMIT_BYTES:
+        if size > self._head_limit:
             self.break_off(HeadFault(431, 'head too large'))
             return False
         self._scanned = len(self._buffer)
@@ -206,7 +227,7 @@
 
     def _take_head(self, raw: bytes) -> bool:
         self._pieces = Pieces()
-        parsed = self._parse(raw, self._pieces)
+        parsed = self._parse(raw, self._pieces, self._limit)
         if isinstance(parsed, HeadFault):
             self.break_off(parsed)
             return False
@@ -219,7 +240,10 @@
         has_body = self._sink.on_head(head)
         if self.phase is Phase.BROKEN:
             return False
-        if has_body and head.framing.chunked:
+        if has_body and head.framing.until_close:
+            self.phase = Phase.STREAM
+            self._left = self._limit
+        elif has_body and head.framing.chunked:
             self.phase = Phase.CHUNKS
             self._left = self._limit
         elif has_body and self._left:
@@ -238,6 +262,16 @@
             self._sink.on_end()
         return True
 
+    def _read_stream(self) -> bool:
+        piece = bytes(self._buffer)
+        self._buffer.clear()
+        self._left -= len(piece)
+        if self._left < 0:
+            self.break_off(HeadFault(413, 'body too large'))
+            return False
+        self._sink.on_body(piece)
+        return True
+
     def _read_chunks(self) -> bool:
         """Feed up to a possible end, so that no byte of the next is lost."""
         known = self._tail + self._buffer
--- a/medlarhoist/node/proxy/relay.py
+++ b/medlarhoist/node/proxy/relay.py
@@ -8,6 +8,7 @@
     Header,
     forward_headers,
 )
+from medlarhoist.core.hop_check import Framing
 from medlarhoist.node.proxy.attempt import Failure
 from medlarhoist.node.proxy.body import BodyTooLarge, ShortBody
 from medlarhoist.node.proxy.client import Answer
@@ -34,7 +35,10 @@
     head = answer.head
     headers = forward_headers(head.headers)
     headers.extend(extra)
-    exchange.start(head.status, headers, head.framing, head.reason)
+    framing = head.framing
+    if framing.until_close:
+        framing = Framing(chunked=True, declared=True)
+    exchange.start(head.status, headers, framing, head.reason)
     if not answer.body.size and not answer.body.ended:
         exchange.flush()
     try:
--- a/medlarhoist/node/proxy/server.py
+++ b/medlarhoist/node/proxy/server.py
@@ -9,7 +9,9 @@
 
 from loguru import logger
 
-from medlarhoist.core.hop_check import REQUEST_LIMIT_BYTES, Framing, HeadFault
+from medlarhoist.core.compile import NO_LIMITS
+from medlarhoist.core.hop_check import Framing, HeadFault
+from medlarhoist.core.resource import Limits
 from medlarhoist.node.proxy.body import BodyTooLarge, ShortBody
 from medlarhoist.node.proxy.exchange import CLOSE, Exchange
 from medlarhoist.node.proxy.head import (
@@ -19,16 +21,21 @@
 )
 from medlarhoist.node.proxy.reader import Head, MessageReader, Phase
 
-HEAD_TIMEOUT_S: Final = 10.0
-IDLE_TIMEOUT_S: Final = 75.0
 CLOSE_LINGER_S: Final = 1.0
 CONNECTION_LIMIT: Final = 4096
 BACKLOG: Final = 1024
+_MS_PER_SECOND: Final = 1000
 _LINGER_OFF: Final = struct.pack('ii', 1, 0)
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
 Serve = Callable[[Exchange], Awaitable[None]]
+FindLimits = Callable[[], Limits]
+
+
+def find_no_limits() -> Limits:
+    """Return the limits that hold where nothing is configured."""
+    return NO_LIMITS
 
 
 class ServerConnection(asyncio.Protocol):  # noqa: WPS214  a protocol
@@ -50,11 +57,13 @@
         """Serve the requests of one connection."""
         self.listener = listener
         self._serve = serve
+        limits = listener.find_limits()
         self._reader = MessageReader(
             parse_request_head,
             self,
             Phase.HEAD,
-            REQUEST_LIMIT_BYTES,
+            limits.body_bytes,
+            limits.head_bytes,
         )
         self._exchange: Exchange | None = None
         self._task: asyncio.Task[None] | None = None
@@ -186,6 +195,8 @@
             self._close_gently()
             return
         self.switch_reading(True)
+        limits = self.listener.find_limits()
+        self._reader.set_limits(limits.body_bytes, limits.head_bytes)
         self._reader.go_on()
 
     def reset(self) -> None:
@@ -206,9 +217,12 @@
         """Close where a head takes too long, or nothing comes."""
         if self._exchange is not None:
             return
-        if self._reader.has_bytes and now - self._since > HEAD_TIMEOUT_S:
-            self._refuse(HeadFault(408, 'head too slow'))
-        elif now - self._since > IDLE_TIMEOUT_S:
+        limits = self.listener.find_limits()
+        silent_ms = (now - self._since) * _MS_PER_SECOND
+        if self._reader.has_bytes:
+            if silent_ms > limits.head_timeout_ms:
+                self._refuse(HeadFault(408, 'head too slow'))
+        elif silent_ms > limits.idle_timeout_ms:
             self._transport.close()
 
     def _refuse(self, fault: HeadFault) -> None:
@@ -262,6 +276,7 @@
         connections: the open connections.
         is_draining: whether connections close after their request.
         faults: malformed requests that were refused.
+        find_limits: returns the limits of callers in force.
         port: port it listens on, zero before the start.
     """
 
@@ -271,13 +286,19 @@
         '_sock',
         'connections',
         'faults',
+        'find_limits',
         'is_draining',
         'port',
     )
 
-    def __init__(self, serve: Serve) -> None:
+    def __init__(
+        self,
+        serve: Serve,
+        find_limits: FindLimits = find_no_limits,
+    ) -> None:
         """Serve requests with a coroutine."""
         self._serve = serve
+        self.find_limits = find_limits
         self._server: asyncio.Server | None = None
         self._sock: socket.socket | None = None
         self.connections: set[ServerConnection] = set()
--- a/medlarhoist/node/registry.py
+++ b/medlarhoist/node/registry.py
@@ -78,7 +78,12 @@
         return (target,) if target else ()
 
     def targets(self, service: str, label: str) -> tuple[Target, ...]:
-        """Return the known targets of a version, the own domain first."""
+        """Return the known targets of a version, the own domain first.
+
+        Args:
+            service: name of the service.
+            label: its version; empty for those of every version.
+        """
         if self._indexed != self.revision:
             self._index()
         return self._by_version.get((service, label), ())
@@ -162,8 +167,9 @@
         groups = [self.domain_targets(), *(each.targets for each in told)]
         for group in groups:
             for target in group:
-                key = target.service, target.label
-                found.setdefault(key, []).append(target)
+                for label in (target.label, ''):
+                    key = target.service, label
+                    found.setdefault(key, []).append(target)
         self._by_version = {
             key: tuple(targets) for key, targets in found.items()
         }
--- a/medlarhoist/ops/text.py
+++ b/medlarhoist/ops/text.py
@@ -44,11 +44,11 @@
 
 
 def describe_resource(resource: Resource) -> str:
-    """Return the fields of a resource but for its name."""
+    """Return the fields of a resource but for its name and empty ones."""
     fields = [
         f'{field}={getattr(resource, field)}'
         for field in resource.__struct_fields__
-        if field != 'name'
+        if field != 'name' and getattr(resource, field) not in {'', ()}
     ]
     return ' '.join(fields)
 
--- /dev/null
+++ b/medlarhoist/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: it translates, and decides nothing."""
--- a/medlarhoist/source/api.py
+++ b/medlarhoist/source/api.py
@@ -11,7 +11,12 @@
 from msgspec import json
 from result import Err
 
-from medlarhoist.core.answer import Problem
+from medlarhoist.core.answer import (
+    ApplyRequest,
+    ConfigurationAnswer,
+    Problem,
+    ReplaceRequest,
+)
 from medlarhoist.core.command import Outcome, Status
 from medlarhoist.core.event import Compacted
 from medlarhoist.core.ports import (
@@ -25,7 +30,7 @@
 from medlarhoist.core.snapshot import SCHEMA
 from medlarhoist.core.verdict import Verdict
 from medlarhoist.source.api_auth import find_operator
-from medlarhoist.source.api_input import read_apply
+from medlarhoist.source.api_input import read_body
 from medlarhoist.source.api_read import (
     select_events,
     select_moves,
@@ -33,12 +38,10 @@
 )
 from medlarhoist.source.api_write import (
     QueueFull,
-    Writer,
+    Writing,
     answer_outcome,
-    create_writer,
 )
-from medlarhoist.source.watch import StateWatch, create_state_watch
-from medlarhoist.utils.clock import MILLISECONDS_PER_SECOND, wall_ms
+from medlarhoist.utils.clock import MILLISECONDS_PER_SECOND
 from medlarhoist.utils.loop import Host
 from medlarhoist.utils.web import Site, WebAnswer, WebRequest, create_site
 
@@ -78,16 +81,15 @@
         self,
         cfg: SourceSettings,
         ledger: Ledger,
-        watch: StateWatch,
-        writer: Writer,
+        writing: Writing,
         status: StatusView,
         lowest_schema: FloorView,
     ) -> None:
         """Keep the parts; see create_api."""
         self._cfg = cfg
         self._ledger = ledger
-        self._watch = watch
-        self._writer = writer
+        self._watch = writing.watch
+        self._writer = writing.writer
         self._status = status
         self._lowest = lowest_schema
         self._is_closing = False
@@ -121,6 +123,8 @@
         path = request.path.rstrip('/')
         if path == '/v1/apply':
             return await self._apply(request, operator)
+        if path == '/v1/configuration' and request.method == 'PUT':
+            return await self._replace(request, operator)
         if request.method != 'GET':
             return _refuse(405, 'only GET is served here')
         for prefix, serve in self._reads().items():
@@ -132,6 +136,7 @@
     def _reads(self) -> dict[str, Serve]:
         return {
             '/v1/resources': self._get_resources,
+            '/v1/configuration': self._get_configuration,
             '/v1/moves': self._get_moves,
             '/v1/requests': self._get_request,
             '/v1/status': self._get_status,
@@ -141,7 +146,7 @@
     async def _apply(self, request: WebRequest, operator: str) -> WebAnswer:
         if request.method != 'POST':
             return _refuse(405, 'only POST is served here')
-        read = read_apply(request.body)
+        read = read_body(request.body, ApplyRequest)
         if isinstance(read, Err):
             return _refuse(400, read.err_value)
         wanted = read.ok_value
@@ -152,6 +157,29 @@
         answer = answer_outcome(wanted.request_id, outcome)
         return _answer(answer, _HTTP_STATUS[outcome.status])
 
+    async def _replace(self, request: WebRequest, operator: str) -> WebAnswer:
+        read = read_body(request.body, ReplaceRequest)
+        if isinstance(read, Err):
+            return _refuse(400, read.err_value)
+        wanted = read.ok_value
+        outcome = await self._writer.replace(operator, wanted)
+        answer = answer_outcome(wanted.request_id, outcome)
+        return _answer(answer, _HTTP_STATUS[outcome.status])
+
+    async def _get_configuration(
+        self,
+        request: WebRequest,
+        rest: str,
+    ) -> WebAnswer:
+        await self._catch_up(request)
+        state = self._ledger.state
+        found = ConfigurationAnswer(
+            revision=state.revision.number,
+            version=state.active.version,
+            document=state.revision.document.decode(),
+        )
+        return _answer(found)
+
     async def _get_resources(self, request: WebRequest, rest: str) -> WebAnswer:
         await self._catch_up(request)
         kind, _, name = rest.partition('/')
@@ -225,6 +253,7 @@
     host: Host,
     cfg: SourceSettings,
     ledger: Ledger,
+    writing: Writing,
     status: StatusView = dict,
     lowest_schema: FloorView = SchemaFloor,
 ) -> Site:
@@ -234,6 +263,7 @@
         host: the root component of the process.
         cfg: settings of this source.
         ledger: the replicated log.
+        writing: puts writes through it.
         status: returns what GET /v1/status tells, as records or built-ins.
         lowest_schema: returns the oldest content schema among live nodes.
 
@@ -241,9 +271,7 @@
         OSError: the address cannot be bound.
     """
     address = next(peer.api for peer in cfg.sources if peer.name == cfg.name)
-    watch = create_state_watch(ledger)
-    writer = create_writer(ledger, watch, wall_ms)
-    api = Api(cfg, ledger, watch, writer, status, lowest_schema)
+    api = Api(cfg, ledger, writing, status, lowest_schema)
     return create_site(host, CHANNEL, address, api.respond, api.close)
 
 
--- a/medlarhoist/source/api_input.py
+++ b/medlarhoist/source/api_input.py
@@ -5,23 +5,27 @@
 """
 
 from collections.abc import Iterator
-from typing import Any
+from typing import Any, TypeVar
 
 from msgspec import DecodeError, ValidationError, json, msgpack
 from msgspec import to_builtins as build_plain
 from result import Err, Ok, Result
 
-from medlarhoist.core.answer import ApplyRequest
+Body = TypeVar('Body')
 
 
-def read_apply(body: bytes) -> Result[ApplyRequest, str]:
-    """Read the body of POST /v1/apply.
+def read_body(body: bytes, kind: type[Body]) -> Result[Body, str]:
+    """Read the body of a request.
+
+    Args:
+        body: the bytes that came.
+        kind: record that the body must hold.
 
     Returns:
-        The request, or a short sentence that names what is wrong.
+        The record, or a short sentence that names what is wrong.
     """
     try:
-        request = json.decode(body, type=ApplyRequest)
+        request = json.decode(body, type=kind)
     except (DecodeError, ValidationError, UnicodeDecodeError) as exc:
         return Err(f'body: {exc}')
     except RecursionError:
--- a/medlarhoist/source/api_write.py
+++ b/medlarhoist/source/api_write.py
@@ -10,16 +10,18 @@
 from typing import Final
 
 from loguru import logger
+from msgspec import Struct
 
-from medlarhoist.core.answer import ApplyAnswer, ApplyRequest
-from medlarhoist.core.command import Apply, Outcome, Status
+from medlarhoist.core.answer import ApplyAnswer, ApplyRequest, ReplaceRequest
+from medlarhoist.core.command import Apply, Outcome, Replace, Status
 from medlarhoist.core.ports import Ledger, NotLeader
-from medlarhoist.core.resource import Change
+from medlarhoist.core.resource import Change, Move, TargetVersion, key_of
 from medlarhoist.core.state import State
 from medlarhoist.core.verdict import Verdict
 from medlarhoist.source.requests import find_outcome
+from medlarhoist.source.settler import find_unsettled
 from medlarhoist.source.transition_apply import text_of
-from medlarhoist.source.watch import StateWatch
+from medlarhoist.source.watch import StateWatch, create_state_watch
 
 APPLY_TIMEOUT_SECONDS: Final = 20.0
 TURN_SECONDS: Final = 0.5
@@ -55,7 +57,7 @@
         watch: StateWatch,
         clock: Callable[[], int],
     ) -> None:
-        """Keep the parts; see create_writer."""
+        """Keep the parts; see create_writing."""
         self._ledger = ledger
         self._watch = watch
         self._clock = clock
@@ -69,7 +71,78 @@
         self._stop_at = now + STOP_GRACE_SECONDS
 
     async def apply(self, operator: str, request: ApplyRequest) -> Outcome:
-        """Make an operator's changes.
+        """Make an operator's changes; see `_run`."""
+        command = Apply(
+            request_id=request.request_id,
+            operator=operator,
+            changes=request.changes,
+            at_ms=self._clock(),
+        )
+        return await self._run(command, describe_changes(request.changes))
+
+    async def replace(self, operator: str, request: ReplaceRequest) -> Outcome:
+        """Put a whole configuration in force; see `_run`."""
+        command = Replace(
+            request_id=request.request_id,
+            operator=operator,
+            revision=request.revision,
+            base=request.base,
+            resources=request.resources,
+            document=request.document.encode(),
+            at_ms=self._clock(),
+        )
+        count = len(request.resources)
+        text = (
+            f'replace {request.base} by {request.revision}, {count} resources'
+        )
+        return await self._run(command, text)
+
+    async def start_move(
+        self,
+        operator: str,
+        service: str,
+        label: str,
+        duration_ms: int,
+    ) -> Outcome:
+        """Start a move of a service to a version, by a time from now.
+
+        The same order again is answered as the first one was.
+
+        Args:
+            operator: who asks.
+            service: name of the service.
+            label: version that shall have the traffic.
+            duration_ms: time that the move may take, milliseconds.
+
+        Returns:
+            The end of the request; busy while the version that the service
+            has now is not known, since the move would have nothing to leave.
+        """
+        name = f'{service}-{label}'
+        known = self._find_move(name)
+        if known is not None:
+            return known
+        if service in find_unsettled(self._ledger.state):
+            return Outcome(status=Status.BUSY)
+        now_ms = self._clock()
+        request = ApplyRequest(
+            request_id=f'move-{name}-{now_ms}',
+            changes=list_move_changes(service, label, now_ms + duration_ms),
+        )
+        outcome = await self.apply(operator, request)
+        # Another copy of the order may have been the first.
+        return self._find_move(name) or outcome
+
+    def _find_move(self, name: str) -> Outcome | None:
+        if not self._ledger.is_leader:
+            raise NotLeader
+        if name not in self._ledger.state.moves:
+            return None
+        version = self._ledger.state.active.version
+        return Outcome(status=Status.ACCEPTED, version=version)
+
+    async def _run(self, command: Apply | Replace, summary: str) -> Outcome:
+        """Put a command through the ledger and wait for its end.
 
         Returns:
             The end of the request; pending where it takes longer than
@@ -83,14 +156,14 @@
         if not self._ledger.is_leader:
             raise NotLeader
         end = asyncio.get_running_loop().time() + APPLY_TIMEOUT_SECONDS
-        outcome = await self._propose_in_turn(operator, request, end)
+        outcome = await self._propose_in_turn(command, end)
         if outcome.status is Status.PENDING:
-            outcome = await self._wait_for_end(request.request_id, outcome, end)
+            outcome = await self._wait_for_end(command.request_id, outcome, end)
         logger.info(
             'audit: {} asked {} to {}: {}, version {}',
-            operator,
-            request.request_id,
-            describe_changes(request.changes),
+            command.operator,
+            command.request_id,
+            summary,
             outcome.status.value,
             outcome.version,
         )
@@ -98,8 +171,7 @@
 
     async def _propose_in_turn(
         self,
-        operator: str,
-        request: ApplyRequest,
+        command: Apply | Replace,
         end: float,
     ) -> Outcome:
         if self._waiting >= QUEUE_LIMIT:
@@ -107,23 +179,16 @@
         self._waiting += 1
         try:  # noqa: WPS501 - the count must go down again
             async with self._lock:
-                return await self._propose(operator, request, end)
+                return await self._propose(command, end)
         finally:
             self._waiting -= 1
 
     async def _propose(
         self,
-        operator: str,
-        request: ApplyRequest,
+        command: Apply | Replace,
         end: float,
     ) -> Outcome:
         loop = asyncio.get_running_loop()
-        command = Apply(
-            request_id=request.request_id,
-            operator=operator,
-            changes=request.changes,
-            at_ms=self._clock(),
-        )
         outcome = Outcome(status=Status.BUSY)
         while outcome.status is Status.BUSY:
             known = find_outcome(self._ledger.state, command)
@@ -154,19 +219,56 @@
         return self._ledger.state.requests.get(request_id, pending)
 
 
-def create_writer(
-    ledger: Ledger,
-    watch: StateWatch,
-    clock: Callable[[], int],
-) -> Writer:
-    """Return a writer.
+class Writing(Struct, frozen=True):
+    """What the listeners of a source write through.
+
+    Args:
+        writer: takes the requests in turn.
+        watch: tells of changes of the replicated state.
+    """
+
+    writer: Writer
+    watch: StateWatch
+
+
+def create_writing(ledger: Ledger, clock: Callable[[], int]) -> Writing:
+    """Return the writer of a source, and the watch that it waits with.
 
     Args:
         ledger: the replicated log.
-        watch: tells of changes of its state.
         clock: returns milliseconds since 1970.
     """
-    return Writer(ledger, watch, clock)
+    watch = create_state_watch(ledger)
+    return Writing(Writer(ledger, watch, clock), watch)
+
+
+def list_move_changes(
+    service: str,
+    label: str,
+    deadline_ms: int,
+) -> tuple[Change, ...]:
+    """Return the changes that start a move to a version.
+
+    Args:
+        service: name of the service.
+        label: version that shall have the traffic.
+        deadline_ms: end of the move, milliseconds since 1970.
+    """
+    version = TargetVersion(
+        name=f'{service}/{label}',
+        service=service,
+        label=label,
+    )
+    move = Move(
+        name=f'{service}-{label}',
+        service=service,
+        new=label,
+        deadline_ms=deadline_ms,
+    )
+    return tuple(
+        Change(key=key_of(resource), resource=resource)
+        for resource in (version, move)
+    )
 
 
 def answer_outcome(request_id: str, outcome: Outcome) -> ApplyAnswer:
--- a/medlarhoist/source/app.py
+++ b/medlarhoist/source/app.py
@@ -1,7 +1,7 @@
 """App: puts the parts of a source together and runs it until it is stopped."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from functools import partial
 from typing import Final
 
@@ -11,12 +11,13 @@
 
 from medlarhoist.core.settings import SourceSettings
 from medlarhoist.source.api import create_api
+from medlarhoist.source.api_write import create_writing
 from medlarhoist.source.distributor import (
     DistributorView,
     DomainStatus,
     create_distributor,
 )
-from medlarhoist.source.ledger import create_ledger
+from medlarhoist.source.ledger import ReplicatedLedger, create_ledger
 from medlarhoist.source.ledger_driver import StorageDamaged
 from medlarhoist.source.metrics import list_source_samples
 from medlarhoist.source.mover import create_mover
@@ -72,6 +73,7 @@
         super().__init__()
         self._cfg = cfg
         self._ledger = create_ledger(cfg, apply_command)
+        self.writing = create_writing(self._ledger, wall_ms)
         self._mover = create_mover(self._ledger, wall_ms)
         self._distributor = create_distributor(
             cfg,
@@ -79,6 +81,11 @@
             self._mover.on_report,
         )
 
+    @property
+    def ledger(self) -> ReplicatedLedger:
+        """Return the replicated log."""
+        return self._ledger
+
     def status(self) -> SourceStatus:
         """Return what operators ask first."""
         state = self._ledger.state
@@ -102,7 +109,7 @@
             mover=self._mover.dump(),
         )
 
-    async def serve(self, host: Host) -> None:
+    async def serve(self, host: Host, create_sites: 'CreateSites') -> None:
         """Run until SIGTERM, then stop gracefully."""
         procedures = {
             **self._ledger.procedures(),
@@ -118,13 +125,20 @@
         await self._distributor.start()
         await self._mover.start()
         sites = (
-            create_api(host, self._cfg, self._ledger, self.status),
+            create_api(
+                host,
+                self._cfg,
+                self._ledger,
+                self.writing,
+                self.status,
+            ),
             create_admin(
                 host,
                 self._cfg.admin,
                 self.dump,
                 metrics=self._create_metrics(),
             ),
+            *create_sites(host, self),
         )
         await run_until_stopped(partial(self._stop, sites))
         await close_server(server)
@@ -155,9 +169,24 @@
         logger.info('source: has stopped')
 
 
-async def serve_source(cfg: SourceSettings) -> int:
+CreateSites = Callable[[Host, SourceApp], tuple[Site, ...]]
+
+
+def create_no_sites(host: Host, app: SourceApp) -> tuple[Site, ...]:
+    """Serve a source by its own listeners only."""
+    return ()
+
+
+async def serve_source(
+    cfg: SourceSettings,
+    create_sites: CreateSites = create_no_sites,
+) -> int:
     """Run a source until it is stopped.
 
+    Args:
+        cfg: its settings.
+        create_sites: returns further listeners that serve the source.
+
     Returns:
         The exit code; not zero where its data folder cannot be used.
     """
@@ -166,7 +195,7 @@
     app = SourceApp(cfg)
     app.register(host)
     try:
-        await app.serve(host)
+        await app.serve(host, create_sites)
     except StorageDamaged as exc:
         logger.error('source: cannot start: {}', exc)
         return EXIT_STORAGE_DAMAGED
--- a/medlarhoist/source/mover.py
+++ b/medlarhoist/source/mover.py
@@ -28,6 +28,7 @@
 )
 from medlarhoist.core.ports import Ledger, NotLeader, OutcomeUnknown
 from medlarhoist.core.rollout import Decision, decide
+from medlarhoist.source.settler import Settler
 from medlarhoist.utils.tasks import cancel_all
 
 TICK_S: Final = 0.2
@@ -62,11 +63,19 @@
 class Mover:
     """Decides the running moves while its source leads."""
 
-    __slots__ = ('_clock', '_ledger', '_tasks', '_watches', 'dropped_rows')
+    __slots__ = (
+        '_clock',
+        '_ledger',
+        '_settler',
+        '_tasks',
+        '_watches',
+        'dropped_rows',
+    )
 
     def __init__(self, ledger: Ledger, clock: Clock) -> None:
         """Start with no evidence; the clock gives milliseconds since 1970."""
         self._ledger = ledger
+        self._settler = Settler(ledger)
         self._clock = clock
         self._watches: dict[str, _Watch] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -84,6 +93,7 @@
             watch.record.service: watch for watch in self._watches.values()
         }
         newest = self._clock() // WINDOW_MS
+        self._settler.note(rows)
         for row in rows:
             watch = services.get(row.key.service)
             if watch is None or row.key.domain != domain:
@@ -99,6 +109,7 @@
         if not self._ledger.is_leader:
             self._watches.clear()
             return
+        await self._settler.settle(now_ms)
         self._follow(now_ms)
         for watch in tuple(self._watches.values()):
             if self._ledger.state.staged is not None:
--- a/medlarhoist/source/requests.py
+++ b/medlarhoist/source/requests.py
@@ -9,7 +9,7 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from medlarhoist.core.command import Apply, Outcome, Status
+from medlarhoist.core.command import Apply, Outcome, Replace, Status
 from medlarhoist.core.digest import fingerprint_of
 from medlarhoist.core.resource import Change, Fault
 from medlarhoist.core.state import State
@@ -26,12 +26,33 @@
     changes: tuple[Change, ...]
 
 
-def fingerprint_request(command: Apply) -> str:
+class _Whole(Struct, frozen=True):
+    """What must be the same in a resend of a whole configuration."""
+
+    operator: str
+    revision: int
+    base: int
+    document: bytes
+
+
+def fingerprint_request(command: Apply | Replace) -> str:
     """Return the digest of what an operator asked for."""
+    if isinstance(command, Replace):
+        return fingerprint_of(
+            _Whole(
+                command.operator,
+                command.revision,
+                command.base,
+                command.document,
+            ),
+        )
     return fingerprint_of(_Content(command.operator, command.changes))
 
 
-def find_outcome(state: State, command: Apply) -> Outcome | None:
+def find_outcome(
+    state: State,
+    command: Apply | Replace,
+) -> Outcome | None:
     """Return the outcome of an earlier copy of a request, if there was one.
 
     A request id that stands for other changes is refused.
@@ -48,7 +69,7 @@
 
 def remember(
     state: State,
-    command: Apply,
+    command: Apply | Replace,
     outcome: Outcome,
 ) -> tuple[State, Outcome]:
     """Keep the outcome of a request that is applied for the first time.
--- a/medlarhoist/source/transition.py
+++ b/medlarhoist/source/transition.py
@@ -16,6 +16,7 @@
     Command,
     MovePhase,
     Outcome,
+    Replace,
     Status,
     StepMove,
 )
@@ -29,12 +30,15 @@
     make_step,
     set_current,
 )
+from medlarhoist.source.transition_replace import replace_all
 
 
 def apply_command(state: State, command: Command) -> Step:
     """Return the state after a command, and the command's outcome."""
     if isinstance(command, Apply):
         return apply_changes(state, command)
+    if isinstance(command, Replace):
+        return replace_all(state, command)
     if isinstance(command, Activate):
         return _activate(state, command)
     if isinstance(command, Abandon):
@@ -59,6 +63,7 @@
         entries=staged.entries,
         moves=staged.moves,
         events=events,
+        revision=staged.revision,
     )
     outcome = Outcome(
         status=Status.ACCEPTED,
--- a/medlarhoist/source/transition_apply.py
+++ b/medlarhoist/source/transition_apply.py
@@ -16,7 +16,7 @@
     key_of,
 )
 from medlarhoist.core.snapshot import Share, Snapshot
-from medlarhoist.core.state import Entry, Staged, State
+from medlarhoist.core.state import Entry, Revision, Staged, State
 from medlarhoist.source.requests import find_outcome, remember
 from medlarhoist.source.transition_moves import (
     Entries,
@@ -64,9 +64,18 @@
     moves: Moves,
     request_id: str,
     at_ms: int,
+    revision: Revision | None = None,
 ) -> tuple[State, tuple[Fault, ...]]:
     """Stage a candidate under the next version.
 
+    Args:
+        state: the state before.
+        entries: the resources by kind/name, as they shall be.
+        moves: the moves by name, as they shall be.
+        request_id: the operator request that waits for it, empty for none.
+        at_ms: present time, milliseconds since 1970.
+        revision: the operator's whole configuration, where it changes.
+
     Returns:
         The state with the version staged and no faults, or the state as it
         was and every fault.
@@ -82,6 +91,7 @@
         moves=moves,
         request_id=request_id,
         at_ms=at_ms,
+        revision=revision or state.revision,
     )
     return replace(state, last_version=snapshot.version, staged=staged), ()
 
@@ -113,6 +123,7 @@
         routes=tuple(sorted_by_kind['route']),
         target_versions=tuple(sorted_by_kind['target-version']),
         shares=tuple(shares),
+        limits=tuple(sorted_by_kind['limits']),
     )
 
 
--- a/medlarhoist/source/transition_moves.py
+++ b/medlarhoist/source/transition_moves.py
@@ -40,7 +40,8 @@
             result[name] = _roll_back(move, cmd)
     for text, entry in new.items():
         if isinstance(entry.resource, Move) and old.get(text) != entry:
-            result[entry.resource.name] = _start(entry.resource, cmd)
+            old_label = find_old(entry.resource, new)
+            result[entry.resource.name] = _start(entry.resource, old_label, cmd)
     return result
 
 
@@ -150,11 +151,19 @@
     return move.phase is MovePhase.RUNNING
 
 
-def _start(move: Move, cmd: Apply) -> MoveState:
+def find_old(move: Move, entries: Entries) -> str:
+    """Return the version that a move leaves: the current one by default."""
+    entry = entries.get(f'{Kind.SERVICE}/{move.service}')
+    if move.old or entry is None or not isinstance(entry.resource, Service):
+        return move.old
+    return entry.resource.current
+
+
+def _start(move: Move, old: str, cmd: Apply) -> MoveState:
     return MoveState(
         move=move.name,
         service=move.service,
-        old=move.old,
+        old=old,
         new=move.new,
         deadline_ms=move.deadline_ms,
         bake_ms=move.bake_ms,
@@ -194,7 +203,10 @@
         yield f'bake_ms: {move.bake_ms} is not in 0..{BAKE_LIMIT_MS}'
     if move.deadline_ms <= at_ms + move.bake_ms:
         yield 'deadline_ms: leaves no time before the bake time'
-    if move.old == move.new:
+    old = find_old(move, new)
+    if not old:
+        yield 'old: the current version of the service is not known yet'
+    if old == move.new:
         yield f'new: {move.new!r} is the old version too'
     yield from _check_references(move, new)
 
@@ -205,7 +217,7 @@
         yield f'service: {move.service!r} does not exist'
         return
     service = entry.resource
-    if isinstance(service, Service) and service.current != move.old:
+    if isinstance(service, Service) and service.current != find_old(move, new):
         yield f'old: the current version is {service.current!r}'
     version = f'{Kind.TARGET_VERSION}/{move.service}/{move.new}'
     if version not in new:
--- a/medlarhoist/utils/logs.py
+++ b/medlarhoist/utils/logs.py
@@ -74,12 +74,12 @@
     Args:
         cfg: level and form of the lines.
         process: name of the process, in each line.
-        stream: text stream; standard error where it is left out.
+        stream: text stream; standard output where it is left out.
     """
     logger.remove()
     logger.configure(extra={'process': process, 'suffix': ''})
     logger.add(
-        stream or sys.stderr,
+        stream or sys.stdout,
         level=cfg.level,
         format=_format_text,
         filter=RepeatFilter(monotonic_seconds),
