--- a/medlarhoist/core/dialect.py
+++ b/medlarhoist/core/dialect.py
@@ -47,6 +47,14 @@
     return [header for header in headers if header[0] not in reserved]
 
 
+def read_id(dialect: Dialect, headers: Sequence[Header]) -> str:
+    """Return the caller's id of a request, empty where it has none."""
+    if not dialect.request_id:
+        return ''
+    found = find_header(headers, dialect.request_id) or b''
+    return found.decode('latin-1')
+
+
 def is_refusal(
     dialect: Dialect,
     status: int,
--- a/medlarhoist/node/proxy/call.py
+++ b/medlarhoist/node/proxy/call.py
@@ -3,7 +3,7 @@
 import time
 
 from medlarhoist.core.deadline import start_deadline
-from medlarhoist.core.dialect import Dialect, drop_reserved
+from medlarhoist.core.dialect import Dialect, drop_reserved, read_id
 from medlarhoist.core.hop import (
     find_header,
     forward_headers,
@@ -29,9 +29,12 @@
         tried: addresses of the targets that were tried.
         last: the target of the present attempt.
         may_have_run: whether any attempt may have run.
+        version: configuration version that it is routed by.
+        caller_id: the caller's id of the request, empty where it has none.
     """
 
     __slots__ = (
+        'caller_id',
         'deadline',
         'label',
         'last',
@@ -43,6 +46,7 @@
         'stable_label',
         'started',
         'tried',
+        'version',
     )
 
     def __init__(
@@ -55,6 +59,8 @@
     ) -> None:
         """Start a call now."""
         head = exchange.head
+        self.caller_id = read_id(dialect, head.headers)
+        self.version = 0
         self.route = route
         self.service = service
         self.label = label
--- a/medlarhoist/node/proxy/entry.py
+++ b/medlarhoist/node/proxy/entry.py
@@ -22,6 +22,7 @@
 from medlarhoist.node.proxy.attempt import Failure
 from medlarhoist.node.proxy.body import BodyTooLarge, ShortBody
 from medlarhoist.node.proxy.call import Call
+from medlarhoist.node.proxy.call_log import log_attempt, log_end
 from medlarhoist.node.proxy.choice import Choice
 from medlarhoist.node.proxy.client import Answer
 from medlarhoist.node.proxy.exchange import Exchange
@@ -124,6 +125,7 @@
         service = compiled.services[self._splitter.pick(route)]
         label = self._parts.choice.pick_label(compiled, service)
         call = Call(exchange, route, service.name, label, self._parts.dialect)
+        call.version = compiled.version
         if self._parts.dialect.origin:
             origin = (self._parts.dialect.origin, self._parts.service.encode())
             call.request.headers.append(origin)
@@ -140,11 +142,13 @@
                 failure = await self._try_targets(exchange, call)
         except TimeoutError:
             if exchange.is_held_up:
+                log_end(call, 0, 'caller reads too slowly', time.monotonic())
                 exchange.abort()
                 return
             self._parts.observer.note_timeout(call)
             failure = Failure(call.verdict, 'deadline is over', 504)
         except asyncio.CancelledError:
+            log_end(call, 0, 'caller is gone', time.monotonic())
             if not exchange.started:
                 self._parts.observer.note_leaving(call)
             raise
@@ -152,7 +156,9 @@
             return
         failure = structs.replace(failure, verdict=call.verdict)
         self._parts.observer.note_end(call, failure)
-        refuse(exchange, _blame_caller(call) or failure)
+        told = _blame_caller(call) or failure
+        log_end(call, told.status, told.reason, time.monotonic())
+        refuse(exchange, told)
 
     async def _try_targets(
         self,
@@ -226,6 +232,7 @@
             outcome = await self._send(call, target)
             if isinstance(outcome, Failure):
                 self._parts.observer.note_attempt(call, outcome)
+                log_attempt(call, outcome, time.monotonic())
                 return outcome
             await self._relay(exchange, call, outcome)
         finally:
@@ -260,6 +267,8 @@
         finally:
             answer.close()
         self._parts.observer.note_answer(call, answer, whole=is_whole)
+        outcome = 'answered' if is_whole else 'cut'
+        log_end(call, answer.head.status, outcome, time.monotonic())
 
 
 def _blame_caller(call: Call) -> Failure | None:
--- a/medlarhoist/node/proxy/local.py
+++ b/medlarhoist/node/proxy/local.py
@@ -10,7 +10,12 @@
 from msgspec import Struct, structs
 
 from medlarhoist.core.deadline import left_for_next_hop_ms
-from medlarhoist.core.dialect import Dialect, is_crossed, is_refusal
+from medlarhoist.core.dialect import (
+    Dialect,
+    is_crossed,
+    is_refusal,
+    read_id,
+)
 from medlarhoist.core.hop import REQUEST_HEADER, Header, find_header
 from medlarhoist.core.limit import Load
 from medlarhoist.core.presence import is_same_run
@@ -18,6 +23,7 @@
 from medlarhoist.core.target import TargetNotice, TargetPhase
 from medlarhoist.core.verdict import Verdict
 from medlarhoist.node.proxy.attempt import Failure, Request
+from medlarhoist.node.proxy.call_log import log_refusal
 from medlarhoist.node.proxy.client import Answer
 from medlarhoist.node.proxy.pool import Pool, send_request
 from medlarhoist.node.proxy.slots import Slots
@@ -109,6 +115,9 @@
         fault = await self._admit(order)
         if fault:
             self.refused += 1
+            left_s = order.deadline - time.monotonic()
+            caller_id = read_id(self._dialect, request.headers)
+            log_refusal(caller_id, fault, self.load, left_s)
             return Failure(Verdict.DID_NOT_RUN, fault)
         started = time.monotonic()
         sent = self._address(request, order)
