Find the sources from seeds, give a lost place to a spare one, follow changed settings

A spare source now asks for a place and is admitted as after the loss of a disk; a source whose place was given away wipes its folder and becomes a spare one. SIGHUP and a changed file are followed, and nodes learn of the sources from the sources.

Ruled out: changing the size of the group, which needs joint majorities; a place that is handed over keeps the proved rule of admissions.

--- a/bench/distribution_fake.py
+++ b/bench/distribution_fake.py
@@ -19,16 +19,18 @@
 )
 from medlarhoist.core.evidence import EvidenceRow
 from medlarhoist.core.ports import AppliedCallback, NotLeader
+from medlarhoist.core.settings import Peer
 from medlarhoist.core.state import State
 
 
 class FakeLog:
     """What the fake ledgers of all sources share."""
 
-    __slots__ = ('accepted', 'callbacks', 'leader', 'state')
+    __slots__ = ('accepted', 'callbacks', 'leader', 'peers', 'state')
 
-    def __init__(self, leader: str) -> None:
+    def __init__(self, leader: str, peers: tuple[Peer, ...] = ()) -> None:
         """Start with an empty state."""
+        self.peers = peers
         self.accepted: dict[int, float] = {}
         self.callbacks: list[AppliedCallback] = []
         self.leader = leader
@@ -69,6 +71,11 @@
         self._name = name
         self.commands: list[Command] = []
 
+    @property
+    def peers(self) -> tuple[Peer, ...]:
+        """Return where each source is."""
+        return self._log.peers
+
     @property
     def state(self) -> State:
         """Return the shared state."""
--- a/bench/distribution_fleet.py
+++ b/bench/distribution_fleet.py
@@ -151,7 +151,7 @@
             )
             for number in range(sources)
         )
-        self.log = FakeLog(peers[0].name)
+        self.log = FakeLog(peers[0].name, peers)
         self.nodes: dict[str, NodeProcess] = {}
         self.sources = [
             SourceProcess(_source_settings(peer, peers, keepers), self.log)
--- a/medlarhoist/consensus/following.py
+++ b/medlarhoist/consensus/following.py
@@ -63,6 +63,7 @@
         snapshot=snapshot,
         commit=snapshot.index,
         voters=snapshot.voters,
+        places=snapshot.places,
     )
 
 
@@ -107,6 +108,7 @@
         accepted=accepted,
         index=index,
         incarnation=replica.incarnation,
+        place=replica.place,
         round=req.round,
         sent_at=req.sent_at,
     )
--- a/medlarhoist/consensus/message.py
+++ b/medlarhoist/consensus/message.py
@@ -91,6 +91,7 @@
         incarnation: data folder that holds the entries.
         round: round of the message answered.
         sent_at: sent_at of the message answered.
+        place: where the follower is, empty where its name says it.
     """
 
     sender: str
@@ -101,6 +102,7 @@
     incarnation: str
     round: int
     sent_at: float
+    place: str = ''
 
 
 class Install(Struct, frozen=True, kw_only=True, tag='install'):
--- a/medlarhoist/consensus/record.py
+++ b/medlarhoist/consensus/record.py
@@ -42,10 +42,12 @@
     Args:
         name: name of the replica.
         incarnation: identity of the data folder that counts from now on.
+        place: where that replica is, opaque here; empty where it stays.
     """
 
     name: str
     incarnation: str
+    place: str = ''
 
 
 class HardState(Struct, frozen=True, kw_only=True):
@@ -72,9 +74,11 @@
         term: the term of that entry.
         voters: incarnation that counts, by name of the replica.
         body: the encoded state.
+        places: where the replicas are, by name, as admissions told.
     """
 
     index: int
     term: int
     voters: dict[str, str]
     body: bytes
+    places: dict[str, str] = {}
--- a/medlarhoist/consensus/replica.py
+++ b/medlarhoist/consensus/replica.py
@@ -51,6 +51,7 @@
         next_index: index of the next entry to send.
         held: index up to which the peer has acknowledged the log.
         incarnation: data folder of the peer.
+        place: where the peer says it is.
         round: newest heartbeat round that it answered.
         sent_at: when the newest message that it answered was sent, seconds.
     """
@@ -58,6 +59,7 @@
     next_index: int
     held: int = 0
     incarnation: str = FOUNDER
+    place: str = ''
     round: int = 0
     sent_at: float = -inf
 
@@ -77,6 +79,8 @@
         snapshot: newest snapshot, None before the first.
         commit: index up to which the log is committed.
         voters: incarnation that counts, by name, as committed.
+        places: where replicas are, by name, as committed admissions told.
+        place: where this replica is, empty where its name says it.
         heard_at: when a leader was last heard, seconds.
         election_due: when to campaign, seconds.
         heartbeat_due: when a leader sends the next round, seconds.
@@ -100,6 +104,8 @@
     snapshot: LogSnapshot | None = None
     commit: int = 0
     voters: dict[str, str] = field(default_factory=dict)
+    places: dict[str, str] = field(default_factory=dict)
+    place: str = ''
     heard_at: float = 0
     election_due: float = 0
     heartbeat_due: float = 0
@@ -135,10 +141,12 @@
         random: returns numbers from zero to one.
     """
     voters = {member: FOUNDER for member in (name, *peers)}
+    places: dict[str, str] = {}
     log = Log(entries=entries)
     commit = 0
     if snapshot is not None:
         voters.update(snapshot.voters)
+        places.update(snapshot.places)
         commit = snapshot.index
         log = Log(
             base_index=snapshot.index,
@@ -155,6 +163,7 @@
         snapshot=snapshot,
         commit=commit,
         voters=voters,
+        places=places,
         heard_at=now,
         election_due=next_election(now, random),
     )
@@ -181,11 +190,14 @@
     if commit <= replica.commit:
         return replica
     voters = dict(replica.voters)
+    places = dict(replica.places)
     for entry in entries_between(replica.log, replica.commit, commit):
         if entry.kind is EntryKind.ADMIT:
             admission = decode(entry.body, Admission)
             voters[admission.name] = admission.incarnation
-    return replace(replica, commit=commit, voters=voters)
+            if admission.place:
+                places[admission.name] = admission.place
+    return replace(replica, commit=commit, voters=voters, places=places)
 
 
 def pending_admission(replica: Replica) -> str | None:
--- a/medlarhoist/consensus/replication.py
+++ b/medlarhoist/consensus/replication.py
@@ -111,6 +111,7 @@
         progress = Progress(
             next_index=progress.next_index,
             incarnation=reply.incarnation,
+            place=reply.place,
         )
     progress = replace(
         progress,
@@ -142,7 +143,11 @@
         return replica
     if pending_admission(replica) is not None:
         return replica
-    admission = Admission(name=peer, incarnation=progress.incarnation)
+    admission = Admission(
+        name=peer,
+        incarnation=progress.incarnation,
+        place=progress.place,
+    )
     return _append(replica, EntryKind.ADMIT, (encode(admission),))
 
 
--- a/medlarhoist/core/ports.py
+++ b/medlarhoist/core/ports.py
@@ -8,6 +8,7 @@
 
 from medlarhoist.core.command import Command, Outcome
 from medlarhoist.core.evidence import EvidenceRow
+from medlarhoist.core.settings import Peer
 from medlarhoist.core.state import State
 from medlarhoist.core.target import Target
 
@@ -29,6 +30,10 @@
     def leader(self) -> str:
         """Return the name of the leader, empty where it is unknown."""
 
+    @property
+    def peers(self) -> tuple[Peer, ...]:
+        """Return where each source of the group is."""
+
     def propose(self, command: Command) -> Awaitable[Outcome]:
         """Commit and apply a command; leaders only.
 
@@ -49,6 +54,12 @@
         """Call back after each applied command, on every source."""
 
 
+def find_leader(ledger: Ledger) -> Peer | None:
+    """Return where the leader is, None where it is unknown."""
+    known = (peer for peer in ledger.peers if peer.name == ledger.leader)
+    return next(known, None)
+
+
 class NotLeader(Exception):
     """Another source leads; the command was not logged."""
 
--- a/medlarhoist/core/settings.py
+++ b/medlarhoist/core/settings.py
@@ -78,11 +78,16 @@
     """Settings of a source.
 
     Args:
-        name: name of the process, one of the sources.
+        name: name of the process, in the log lines; that of one of the
+            sources, or of a spare source at `spare`.
         domain: failure domain of its VM.
         admin: address for dump and metrics (HTTP).
         shared_key: secret that all processes of the system share.
-        sources: all sources, this one included.
+        sources: the group of sources at its founding; for a spare source
+            and for a lost disk, sources to ask for a place.
+        spare: addresses of this source where it is none of `sources`.
+        may_found: whether an empty data folder may be that of a new group;
+            if not, it waits until a leader gives it a place.
         data_folder: folder on a disk for the log and the snapshots.
         operators: who may write.
         keepers: keepers that each failure domain shall have, an odd number.
@@ -94,11 +99,24 @@
     admin: Address
     shared_key: Annotated[str, Meta(min_length=16)]
     sources: tuple[Peer, ...]
+    spare: Peer | None = None
+    may_found: bool = True
     data_folder: str
     operators: tuple[Operator, ...]
     keepers: Annotated[int, Meta(ge=1, le=7)] = 3
     logs: Logs = Logs()
 
+    @property
+    def own(self) -> Peer:
+        """Return where this source is.
+
+        Raises:
+            StopIteration: it is neither spare nor one of the sources.
+        """
+        if self.spare is not None:
+            return self.spare
+        return next(peer for peer in self.sources if peer.name == self.name)
+
 
 class NodeSettings(
     Struct,
--- a/medlarhoist/daemon.py
+++ b/medlarhoist/daemon.py
@@ -3,15 +3,22 @@
 import asyncio
 import sys
 from argparse import ArgumentParser
+from functools import partial
 from pathlib import Path
-from typing import Final
+from typing import Final, TypeVar
 
-from medlarhoist.core.settings import NodeSettings, Settings
+from medlarhoist.core.settings import (
+    NodeSettings,
+    Settings,
+    SourceSettings,
+)
 from medlarhoist.parser.settings import parse_settings
 
 EXIT_OK: Final = 0
 EXIT_BAD_SETTINGS: Final = 2
 
+Role = TypeVar('Role', NodeSettings, SourceSettings)
+
 
 def load_settings(path: Path) -> Settings | None:
     """Read and check a settings file.
@@ -46,18 +53,28 @@
     if only_check:
         sys.stdout.write(f'{path}: settings are valid\n')
         return EXIT_OK
-    return asyncio.run(_serve(cfg))
+    return asyncio.run(_serve(cfg, path))
 
 
-async def _serve(cfg: Settings) -> int:
+async def _serve(cfg: Settings, path: Path) -> int:
     # Each role imports only what it uses, which keeps a node small.
     if isinstance(cfg, NodeSettings):
-        from medlarhoist.node.app import serve_node  # noqa: PLC0415
+        from medlarhoist.node.serve import serve_node  # noqa: PLC0415
+
+        return await serve_node(
+            cfg, reread=partial(_reread, path, NodeSettings)
+        )
+    from medlarhoist.source.serve import serve_source  # noqa: PLC0415
+
+    return await serve_source(
+        cfg, reread=partial(_reread, path, SourceSettings)
+    )
 
-        return await serve_node(cfg)
-    from medlarhoist.source.app import serve_source  # noqa: PLC0415
 
-    return await serve_source(cfg)
+def _reread(path: Path, kind: type[Role]) -> Role | None:
+    """Return changed settings of the same role."""
+    settings = load_settings(path)
+    return settings if isinstance(settings, kind) else None
 
 
 def _create_parser() -> ArgumentParser:
--- a/medlarhoist/node/app.py
+++ b/medlarhoist/node/app.py
@@ -22,8 +22,7 @@
 from medlarhoist.node.view import NodeView
 from medlarhoist.utils.admin import create_admin
 from medlarhoist.utils.clock import wall_ms
-from medlarhoist.utils.logs import set_up_logs
-from medlarhoist.utils.loop import Host, create_host, run_until_stopped
+from medlarhoist.utils.loop import Host, run_until_stopped
 from medlarhoist.utils.metrics import Sample, create_metrics
 from medlarhoist.utils.web import Site
 from medlarhoist.wire.listener import close_server, start_server
@@ -84,6 +83,11 @@
         has_one = self._configuration.active is not None
         return has_one and not self.announcer.is_leaving
 
+    def follow_settings(self, cfg: NodeSettings) -> None:
+        """Take over what may change while the process runs: the sources."""
+        told = [source.control for source in cfg.sources]
+        self._distribution.directory.add_sources(told)
+
     def dump(self) -> NodeView:
         """Return the state of this process."""
         active = self._configuration.active
@@ -154,28 +158,3 @@
         await self._clamp.stop()
         await self._distribution.stop()
         logger.info('node: has stopped')
-
-
-def create_no_sites(host: Host, app: NodeApp) -> tuple[Site, ...]:
-    """Serve a node by its own listeners only."""
-    return ()
-
-
-async def serve_node(
-    cfg: NodeSettings,
-    dialect: Dialect = DEFAULT_DIALECT,
-    create_sites: CreateSites = create_no_sites,
-) -> int:
-    """Run a node until it is stopped and return its exit code.
-
-    Args:
-        cfg: its settings.
-        dialect: the headers of callers and targets.
-        create_sites: returns further listeners that serve the node.
-    """
-    set_up_logs(cfg.logs, cfg.name)
-    host = create_host(asyncio.get_running_loop())
-    app = NodeApp(cfg, dialect)
-    app.register(host)
-    await app.serve(host, create_sites)
-    return 0
--- a/medlarhoist/node/distribution.py
+++ b/medlarhoist/node/distribution.py
@@ -55,13 +55,16 @@
 
 
 class Distribution:
-    """The parts of one node that give it its configuration."""
+    """The parts of one node that give it its configuration.
+
+    Args:
+        directory: where the sources and keepers are.
+    """
 
     __slots__ = (
         '_cfg',
         '_channels',
         '_configuration',
-        '_directory',
         '_downlink',
         '_exchange',
         '_gossip',
@@ -73,6 +76,7 @@
         '_registry',
         '_tasks',
         '_uplink',
+        'directory',
     )
 
     def __init__(
@@ -95,7 +99,7 @@
         self._cfg = cfg
         self._channels = channels
         self._configuration = configuration
-        self._directory = directory
+        self.directory = directory
         self._downlink = downlink
         self._gossip = Gossip(cfg, knowledge, channels, random)
         self._keeper = keeper
@@ -123,7 +127,7 @@
     def procedures(self) -> dict[Method, Serve]:
         """Return the procedures to serve on the control address."""
         return {
-            **self._directory.procedures(),
+            **self.directory.procedures(),
             **self._downlink.procedures(),
             **self._exchange.procedures(),
             **self._gossip.procedures(),
@@ -191,7 +195,7 @@
         self._uplink.mark_changed()
 
     def _waiting_for(self) -> str:
-        if self._directory.own is None:
+        if self.directory.own is None:
             return 'the keeper set of the domain'
         if self._configuration.floor is None:
             return 'a floor from a majority of the keepers'
@@ -202,7 +206,7 @@
     async def _read_floor(self) -> None:
         attempt = 0
         while True:
-            self._keeper.adopt(self._directory.own)
+            self._keeper.adopt(self.directory.own)
             floor = await ask_floor(self._cfg, self._channels, self._keeper)
             if floor is not None:
                 break
@@ -222,7 +226,7 @@
                 ages = Ages(ages_ms=self._registry.ages_ms())
                 self._downlink.broadcast(ages)
             self._adopt_from_keeper()
-            keepers = self._directory.own
+            keepers = self.directory.own
             self._downlink.broadcast(
                 Established(
                     version=self._configuration.established,
@@ -239,7 +243,7 @@
             self._receiver.adopt_sets((keepers,))
 
     def _other_keepers(self) -> list[str]:
-        keepers = self._directory.own
+        keepers = self.directory.own
         members = keepers.members if keepers else {}
         return [
             address
--- a/medlarhoist/node/join.py
+++ b/medlarhoist/node/join.py
@@ -5,7 +5,7 @@
 
 from collections.abc import Iterable
 from random import Random
-from typing import Any
+from typing import Any, Final
 
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
@@ -18,11 +18,21 @@
 from medlarhoist.wire.procedures import JOIN
 from medlarhoist.wire.rpc import Method, Serve
 
+# Seven sources, and as many places that they may have had before.
+SOURCES_KEPT: Final = 14
+
 
 class Directory:
     """The keeper sets that a node knows, and the leader."""
 
-    __slots__ = ('_cfg', '_channels', '_random', 'leader', 'sets')
+    __slots__ = (
+        '_cfg',
+        '_channels',
+        '_random',
+        'leader',
+        'sets',
+        'sources',
+    )
 
     def __init__(
         self,
@@ -36,6 +46,7 @@
         self._random = random
         self.sets: dict[str, KeeperSet] = {}
         self.leader = ''
+        self.sources = tuple(source.control for source in cfg.sources)
 
     @property
     def own(self) -> KeeperSet | None:
@@ -57,7 +68,7 @@
         Args:
             members: control addresses of nodes of the domain.
         """
-        sources = [source.control for source in self._cfg.sources]
+        sources = list(self.sources)
         self._random.shuffle(sources)
         if self.leader:
             sources.insert(0, self.leader)
@@ -67,6 +78,16 @@
                 return True
         return False
 
+    def add_sources(self, told: Iterable[str]) -> None:
+        """Take over where sources are; those told last go first.
+
+        Args:
+            told: control addresses, of all sources or of some.
+        """
+        fresh = tuple(dict.fromkeys(told))
+        older = [one for one in self.sources if one not in fresh]
+        self.sources = (*fresh, *older)[:SOURCES_KEPT]
+
     def procedures(self) -> dict[Method, Serve]:
         """Return the procedure by which other nodes learn the sets."""
         return {JOIN: self._serve}
@@ -82,6 +103,7 @@
         self.adopt(joined.sets)
         if joined.leader:
             self.leader = joined.leader
+        self.add_sources(joined.sources)
         told = {known.domain for known in joined.sets}
         return self._cfg.domain in told
 
@@ -89,5 +111,9 @@
         await stream.recv_message()
         if not self.sets:
             raise GRPCError(Status.UNAVAILABLE, 'no keeper set is known')
-        joined = Joined(sets=tuple(self.sets.values()), leader=self.leader)
+        joined = Joined(
+            sets=tuple(self.sets.values()),
+            leader=self.leader,
+            sources=self.sources,
+        )
         await stream.send_message(joined)
--- a/medlarhoist/node/uplink.py
+++ b/medlarhoist/node/uplink.py
@@ -144,7 +144,7 @@
     def _choose_source(self) -> str:
         if self._directory.leader and not self.attempts % 2:
             return self._directory.leader
-        return self._random.choice(self._cfg.sources).control
+        return self._random.choice(self._directory.sources)
 
     async def _attach_safely(self, address: str) -> None:
         try:
--- a/medlarhoist/parser/settings.py
+++ b/medlarhoist/parser/settings.py
@@ -66,8 +66,12 @@
 
 
 def _check_source(settings: SourceSettings) -> Faults:
-    if settings.name not in {peer.name for peer in settings.sources}:
+    names = {peer.name for peer in settings.sources}
+    if settings.spare is None and settings.name not in names:
         yield '$.name', f'{settings.name!r} is not one of sources'
+    if settings.spare is not None:
+        yield from _check_address('$.spare.control', settings.spare.control)
+        yield from _check_address('$.spare.api', settings.spare.api)
     if settings.keepers % 2 == 0:
         yield (
             '$.keepers',
@@ -75,9 +79,9 @@
         )
     if not settings.data_folder:
         yield '$.data_folder', 'is empty; a path of a folder is accepted'
-    names = [operator.name for operator in settings.operators]
-    for index, name in enumerate(names):
-        if name in names[:index]:
+    operators = [operator.name for operator in settings.operators]
+    for index, name in enumerate(operators):
+        if name in operators[:index]:
             yield f'$.operators[{index}].name', f'{name!r} stands twice'
 
 
--- a/medlarhoist/platform/__main__.py
+++ b/medlarhoist/platform/__main__.py
@@ -2,14 +2,14 @@
 
 import asyncio
 import os
-import random
 import sys
 from functools import partial
 from pathlib import Path
 
+from loguru import logger
 from result import Err
 
-from medlarhoist.core.settings import Logs, NodeSettings
+from medlarhoist.core.settings import NodeSettings, SourceSettings
 from medlarhoist.platform.names import DIALECT
 from medlarhoist.platform.settings import (
     SETTINGS_VARIABLE,
@@ -26,55 +26,67 @@
     Returns:
         The exit code.
     """
-    read = read_deployment(Path(os.environ.get(SETTINGS_VARIABLE, '')))
+    path = Path(os.environ.get(SETTINGS_VARIABLE, ''))
+    read = read_deployment(path)
     if isinstance(read, Err):
         sys.stderr.write(f'{read.err_value}\n')
         return EXIT_BAD_SETTINGS
-    return asyncio.run(_serve(read.ok_value))
+    return asyncio.run(_serve(read.ok_value, path))
 
 
-async def _serve(told: Deployment) -> int:
+async def _serve(told: Deployment, path: Path) -> int:
     # Each role imports only what it uses, which keeps a node small.
-    cfg = told.process
-    if cfg is None:
-        return await _serve_standby(told)
-    if isinstance(cfg, NodeSettings):
-        from medlarhoist.node.app import serve_node  # noqa: PLC0415
-        from medlarhoist.platform.instances import (  # noqa: PLC0415
-            create_node_sites,
-        )
-
-        sites = partial(create_node_sites, told)
-        return await serve_node(cfg, DIALECT, sites)
-    from medlarhoist.platform.operators import (  # noqa: PLC0415
-        create_source_sites,
+    if isinstance(told.process, NodeSettings):
+        return await _serve_node(told, told.process, path)
+    return await _serve_source(told, told.process, path)
+
+
+async def _serve_node(
+    told: Deployment,
+    cfg: NodeSettings,
+    path: Path,
+) -> int:
+    from medlarhoist.node.serve import serve_node  # noqa: PLC0415
+    from medlarhoist.platform.instances import (  # noqa: PLC0415
+        create_node_sites,
     )
-    from medlarhoist.source.app import serve_source  # noqa: PLC0415
 
-    return await serve_source(cfg, partial(create_source_sites, told))
+    def reread() -> NodeSettings | None:  # noqa: WPS430  keeps the path
+        process = _read_again(path)
+        return process if isinstance(process, NodeSettings) else None
+
+    sites = partial(create_node_sites, told)
+    return await serve_node(cfg, DIALECT, sites, reread)
 
 
-async def _serve_standby(told: Deployment) -> int:
-    """Send operators to the sources, as this process is none of them."""
+async def _serve_source(
+    told: Deployment,
+    cfg: SourceSettings,
+    path: Path,
+) -> int:
     from medlarhoist.platform.operators import (  # noqa: PLC0415
-        create_standby_site,
-    )
-    from medlarhoist.utils.logs import set_up_logs  # noqa: PLC0415
-    from medlarhoist.utils.loop import (  # noqa: PLC0415
-        create_host,
-        run_until_stopped,
+        create_source_sites,
+        create_spare_sites,
     )
+    from medlarhoist.source.serve import Sites, serve_source  # noqa: PLC0415
 
-    set_up_logs(Logs(json=True), told.name)
-    host = create_host(asyncio.get_running_loop())
-    names = [peer.name for peer in told.sources]
-    site = create_standby_site(
-        told,
-        host,
-        lambda: random.choice(names),  # noqa: S311  spreads load only
+    def reread() -> SourceSettings | None:  # noqa: WPS430  keeps the path
+        process = _read_again(path)
+        return process if isinstance(process, SourceSettings) else None
+
+    sites = Sites(
+        partial(create_source_sites, told),
+        partial(create_spare_sites, told),
     )
-    await run_until_stopped(site.stop)
-    return 0
+    return await serve_source(cfg, sites, reread)
+
+
+def _read_again(path: Path) -> NodeSettings | SourceSettings | None:
+    read = read_deployment(path)
+    if isinstance(read, Err):
+        logger.error('settings: {}', read.err_value)
+        return None
+    return read.ok_value.process
 
 
 if __name__ == '__main__':
--- a/medlarhoist/platform/operators.py
+++ b/medlarhoist/platform/operators.py
@@ -1,13 +1,13 @@
 """Operators: the listener of a source for the platform's operators."""
 
-from collections.abc import Callable
 from typing import Any, Final
 
 from msgspec import DecodeError, Struct, ValidationError, field, json
 from result import Err
 
 from medlarhoist.core.command import MoveState, Outcome, Status
-from medlarhoist.core.ports import NotLeader, OutcomeUnknown
+from medlarhoist.core.ports import NotLeader, OutcomeUnknown, find_leader
+from medlarhoist.core.settings import Peer
 from medlarhoist.platform.configuration import read_configuration
 from medlarhoist.platform.names import (
     GET_CONFIGURATION_PATH,
@@ -19,6 +19,8 @@
 from medlarhoist.platform.settings import Deployment
 from medlarhoist.source.api_write import QueueFull
 from medlarhoist.source.app import SourceApp
+from medlarhoist.source.ledger_link import peer_at
+from medlarhoist.source.spare import Spare
 from medlarhoist.utils.loop import Host
 from medlarhoist.utils.web import Site, WebAnswer, WebRequest, create_site
 
@@ -59,7 +61,8 @@
         try:
             return await self._route(request)
         except NotLeader:
-            return redirect(self._told, self._app.ledger.leader, request.path)
+            leader = find_leader(self._app.ledger)
+            return redirect(self._told, leader, request.path)
         except (OutcomeUnknown, QueueFull) as exc:
             return _refuse(503, repr(exc))
 
@@ -127,34 +130,32 @@
     return (create_site(host, CHANNEL, told.control, operators.respond),)
 
 
-def create_standby_site(
+def create_spare_sites(
     told: Deployment,
     host: Host,
-    pick: Callable[[], str],
-) -> Site:
-    """Send operators to the sources.
-
-    Args:
-        told: what the platform told.
-        host: the root component of the process.
-        pick: returns the name of a source.
+    spare: Spare,
+) -> tuple[Site, ...]:
+    """Send operators from a spare source to one that leads.
 
     Raises:
         OSError: the address cannot be bound.
     """
 
     async def respond(request: WebRequest) -> WebAnswer:  # noqa: WPS430
-        return redirect(told, pick(), request.path)
+        place = spare.places.get(spare.leader)
+        leader = None if place is None else peer_at(spare.leader, place)
+        return redirect(told, leader, request.path)
 
-    return create_site(host, CHANNEL, told.control, respond)
+    return (create_site(host, CHANNEL, told.control, respond),)
 
 
-def redirect(told: Deployment, source: str, path: str) -> WebAnswer:
-    """Send an operator to a source, named by its IP number."""
-    if not source:
+def redirect(told: Deployment, leader: Peer | None, path: str) -> WebAnswer:
+    """Send an operator to the source that leads."""
+    if leader is None:
         return _refuse(503, 'no source leads')
+    host = leader.control.partition(':')[0]
     port = told.control.rpartition(':')[2]
-    location = f'http://{source}:{port}{path}'
+    location = f'http://{host}:{port}{path}'
     return WebAnswer(status=307, body=b'{}', headers={'Location': location})
 
 
--- a/medlarhoist/platform/settings.py
+++ b/medlarhoist/platform/settings.py
@@ -75,21 +75,14 @@
     """What a process is told by the platform.
 
     Args:
-        process: settings of the process in the product's own terms; None
-            for a source that is not one of the group.
-        domain: its failure domain.
-        name: its name on the platform.
+        process: settings of the process in the product's own terms.
         control: address for operators, or for the target beside a node.
         readiness: address that asks a node whether it takes calls.
-        sources: the group of sources.
     """
 
-    process: NodeSettings | SourceSettings | None
-    name: str
-    domain: str
+    process: NodeSettings | SourceSettings
     control: str
     readiness: str
-    sources: tuple[Peer, ...]
 
 
 def read_deployment(path: Path) -> Result[Deployment, str]:
@@ -119,18 +112,15 @@
     sources = tuple(
         _build_peer(seed, first_port) for seed in sorted(told.network.seeds)
     )
-    process: NodeSettings | SourceSettings | None
+    process: NodeSettings | SourceSettings
     if SOURCE_ROLE in told.process.serves:
         process = _build_source(told, sources)
     else:
         process = _build_node(told, sources)
     return Deployment(
         process=process,
-        name=told.process.name,
-        domain=told.process.domain,
         control=told.network.listen.control,
         readiness=told.network.listen.readiness,
-        sources=sources,
     )
 
 
@@ -144,15 +134,18 @@
     )
 
 
-def _build_source(
-    told: _File,
-    sources: tuple[Peer, ...],
-) -> SourceSettings | None:
+def _build_source(told: _File, sources: tuple[Peer, ...]) -> SourceSettings:
     own = told.process
-    if own.ip not in {peer.name for peer in sources}:
-        return None
+    is_founder = own.ip in {peer.name for peer in sources}
+    spare = Peer(
+        name=own.ip,
+        control=_own_address(told, CONTROL_OFFSET),
+        api=_own_address(told, API_OFFSET),
+    )
     return SourceSettings(
         name=own.ip,
+        spare=None if is_founder and own.is_first_start else spare,
+        may_found=own.is_first_start,
         domain=own.domain,
         admin=_own_address(told, ADMIN_OFFSET),
         shared_key=SHARED_KEY,
--- a/medlarhoist/source/api.py
+++ b/medlarhoist/source/api.py
@@ -24,6 +24,7 @@
     NotLeader,
     OutcomeUnknown,
     StorageFailed,
+    find_leader,
 )
 from medlarhoist.core.schema import SchemaFloor, check_schema
 from medlarhoist.core.settings import SourceSettings
@@ -237,10 +238,8 @@
             await self._ledger.read_barrier()
 
     def _redirect(self) -> WebAnswer:
-        leader = ''
-        for peer in self._cfg.sources:
-            if peer.name == self._ledger.leader:
-                leader = peer.api
+        peer = find_leader(self._ledger)
+        leader = '' if peer is None else peer.api
         problem = Problem(
             message='another source leads' if leader else 'no source leads',
             verdict=Verdict.DID_NOT_RUN,
@@ -270,9 +269,8 @@
     Raises:
         OSError: the address cannot be bound.
     """
-    address = next(peer.api for peer in cfg.sources if peer.name == cfg.name)
     api = Api(cfg, ledger, writing, status, lowest_schema)
-    return create_site(host, CHANNEL, address, api.respond, api.close)
+    return create_site(host, CHANNEL, cfg.own.api, api.respond, api.close)
 
 
 def _read_number(text: str) -> int | None:
--- a/medlarhoist/source/api_test.py
+++ b/medlarhoist/source/api_test.py
@@ -48,6 +48,10 @@
         self.commands = []
         self._callbacks = []
 
+    @property
+    def peers(self):
+        return create_settings().sources
+
     def subscribe(self, callback):
         self._callbacks.append(callback)
 
--- a/medlarhoist/source/app.py
+++ b/medlarhoist/source/app.py
@@ -2,8 +2,6 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from functools import partial
-from typing import Final
 
 from circuits import Component
 from loguru import logger
@@ -18,20 +16,18 @@
     create_distributor,
 )
 from medlarhoist.source.ledger import ReplicatedLedger, create_ledger
-from medlarhoist.source.ledger_driver import StorageDamaged
 from medlarhoist.source.metrics import list_source_samples
 from medlarhoist.source.mover import create_mover
+from medlarhoist.source.spare import wait_for_retirement
 from medlarhoist.source.transition import apply_command
 from medlarhoist.utils.admin import create_admin
 from medlarhoist.utils.clock import wall_ms
-from medlarhoist.utils.logs import set_up_logs
-from medlarhoist.utils.loop import Host, create_host, run_until_stopped
+from medlarhoist.utils.loop import Host
 from medlarhoist.utils.metrics import Metrics, Sample, create_metrics
+from medlarhoist.utils.tasks import run_until_first
 from medlarhoist.utils.web import Site
 from medlarhoist.wire.listener import close_server, start_server
 
-EXIT_STORAGE_DAMAGED: Final = 4
-
 
 class SourceStatus(Struct, frozen=True, kw_only=True):
     """What `status` tells an operator.
@@ -109,14 +105,31 @@
             mover=self._mover.dump(),
         )
 
-    async def serve(self, host: Host, create_sites: 'CreateSites') -> None:
-        """Run until SIGTERM, then stop gracefully."""
+    async def serve(
+        self,
+        host: Host,
+        create_sites: 'CreateSites',
+        asked: asyncio.Event,
+    ) -> bool:
+        """Run until the process is asked to stop, then stop gracefully.
+
+        Args:
+            host: the root component of the process.
+            create_sites: returns further listeners that serve the source.
+            asked: set when the process is asked to stop.
+
+        Returns:
+            Whether the source has lost its place in the group instead.
+
+        Raises:
+            StorageDamaged: the data folder cannot be used.
+        """
         procedures = {
             **self._ledger.procedures(),
             **self._distributor.procedures(),
         }
         server = await start_server(
-            self._find_control(),
+            self._cfg.own.control,
             procedures,
             self._cfg.shared_key,
             self._distributor.traffic,
@@ -140,8 +153,13 @@
             ),
             *create_sites(host, self),
         )
-        await run_until_stopped(partial(self._stop, sites))
+        await run_until_first(
+            asked.wait(),
+            wait_for_retirement(self._cfg, self._ledger),
+        )
+        await self._stop(sites)
         await close_server(server)
+        return not asked.is_set()
 
     def _create_metrics(self) -> Metrics:
         metrics = create_metrics()
@@ -151,13 +169,6 @@
     def _list_samples(self) -> Iterable[Sample]:
         return list_source_samples(self._ledger, self._distributor.status())
 
-    def _find_control(self) -> str:
-        return next(
-            peer.control
-            for peer in self._cfg.sources
-            if peer.name == self._cfg.name
-        )
-
     async def _stop(self, sites: tuple[Site, ...]) -> None:
         """Stop: operators are answered first, while this source may lead."""
         logger.info('source: stops')
@@ -170,33 +181,3 @@
 
 
 CreateSites = Callable[[Host, SourceApp], tuple[Site, ...]]
-
-
-def create_no_sites(host: Host, app: SourceApp) -> tuple[Site, ...]:
-    """Serve a source by its own listeners only."""
-    return ()
-
-
-async def serve_source(
-    cfg: SourceSettings,
-    create_sites: CreateSites = create_no_sites,
-) -> int:
-    """Run a source until it is stopped.
-
-    Args:
-        cfg: its settings.
-        create_sites: returns further listeners that serve the source.
-
-    Returns:
-        The exit code; not zero where its data folder cannot be used.
-    """
-    set_up_logs(cfg.logs, cfg.name)
-    host = create_host(asyncio.get_running_loop())
-    app = SourceApp(cfg)
-    app.register(host)
-    try:
-        await app.serve(host, create_sites)
-    except StorageDamaged as exc:
-        logger.error('source: cannot start: {}', exc)
-        return EXIT_STORAGE_DAMAGED
-    return 0
--- a/medlarhoist/source/distributor.py
+++ b/medlarhoist/source/distributor.py
@@ -102,7 +102,7 @@
             self._assigner,
             on_report,
             self._wake.set,
-            lambda: leader_address(cfg, ledger),
+            lambda: leader_address(ledger),
         )
         self._ledger = ledger
         self._staged_since: tuple[int, float] = (0, 0)
@@ -112,7 +112,7 @@
 
     def procedures(self) -> dict[Method, Serve]:
         """Return the procedures to serve on the control address."""
-        joins = create_join_procedures(self._cfg, self._ledger, self._assigner)
+        joins = create_join_procedures(self._ledger, self._assigner)
         return {
             **joins,
             **self._children.procedures(),
@@ -176,7 +176,7 @@
             self._wake.clear()
             if not self._ledger.is_leader:
                 self._staged_since = (0, 0)
-                self._children.drop_all(leader_address(self._cfg, self._ledger))
+                self._children.drop_all(leader_address(self._ledger))
                 continue
             if ticks >= BEAT_TICKS:
                 ticks = 0
--- a/medlarhoist/source/join.py
+++ b/medlarhoist/source/join.py
@@ -2,31 +2,26 @@
 
 from typing import Any
 
-from medlarhoist.core.ports import Ledger
-from medlarhoist.core.settings import SourceSettings
+from medlarhoist.core.ports import Ledger, find_leader
 from medlarhoist.source.keepers import KeeperAssigner
 from medlarhoist.wire.message import Join, Joined
 from medlarhoist.wire.procedures import JOIN
 from medlarhoist.wire.rpc import Method, Serve
 
 
-def leader_address(cfg: SourceSettings, ledger: Ledger) -> str:
+def leader_address(ledger: Ledger) -> str:
     """Return the control address of the leader, empty where unknown."""
-    for source in cfg.sources:
-        if source.name == ledger.leader:
-            return source.control
-    return ''
+    leader = find_leader(ledger)
+    return '' if leader is None else leader.control
 
 
 def create_join_procedures(
-    cfg: SourceSettings,
     ledger: Ledger,
     assigner: KeeperAssigner,
 ) -> dict[Method, Serve]:
     """Return the procedure that nodes call to join.
 
     Args:
-        cfg: settings of this source.
         ledger: the replicated log.
         assigner: learns of every node that joins.
     """
@@ -36,7 +31,8 @@
         assigner.note_node(join.domain, join.node, join.address)
         joined = Joined(
             sets=tuple(ledger.state.keepers.values()),
-            leader=leader_address(cfg, ledger),
+            leader=leader_address(ledger),
+            sources=tuple(peer.control for peer in ledger.peers),
         )
         await stream.send_message(joined)
 
--- a/medlarhoist/source/ledger.py
+++ b/medlarhoist/source/ledger.py
@@ -6,8 +6,6 @@
 from typing import Any, Final
 
 import msgspec
-from grpclib.const import Status
-from grpclib.exceptions import GRPCError
 from loguru import logger
 
 from medlarhoist.consensus.log import last_index
@@ -21,11 +19,11 @@
     NotLeader,
     StorageFailed,
 )
-from medlarhoist.core.settings import SourceSettings
+from medlarhoist.core.settings import Peer, SourceSettings
 from medlarhoist.core.state import State
 from medlarhoist.source.ledger_driver import Driver
-from medlarhoist.source.ledger_link import DELIVER, Envelope, Receipt
 from medlarhoist.source.ledger_machine import ApplyCommand, Machine
+from medlarhoist.source.ledger_peers import LedgerPeers
 from medlarhoist.source.ledger_pending import (
     PROPOSE_TIMEOUT_SECONDS,
     Barrier,
@@ -44,9 +42,13 @@
 
 
 class ReplicatedLedger:
-    """One source's replica of the log and of the state."""
+    """One source's replica of the log and of the state.
 
-    __slots__ = ('_driver', '_machine', '_queue', '_waiters')
+    Args:
+        links: the other sources.
+    """
+
+    __slots__ = ('_driver', '_machine', '_queue', '_waiters', 'links')
 
     def __init__(
         self,
@@ -64,6 +66,7 @@
             self._settle,
             self._waiters.fail_all,
         )
+        self.links = LedgerPeers(self._driver, self.read_barrier)
 
     @property
     def state(self) -> State:
@@ -105,6 +108,11 @@
         self._pass_barriers(replica)
         await barrier.fut
 
+    @property
+    def peers(self) -> tuple[Peer, ...]:
+        """Return where each source of the group is."""
+        return self.links.list_all()
+
     def subscribe(self, callback: AppliedCallback) -> None:
         """Call back after each command that this source applies.
 
@@ -115,7 +123,7 @@
 
     def procedures(self) -> dict[Method, Procedure]:
         """Return what the control listener must serve for this part."""
-        return {DELIVER: self._deliver}
+        return self.links.procedures()
 
     async def start(self) -> None:
         """Recover from the disk and take part in elections.
@@ -144,14 +152,6 @@
         )
         return msgspec.to_builtins(report)
 
-    async def _deliver(self, stream: Any) -> None:
-        if self._driver.replica is None:
-            raise GRPCError(Status.UNAVAILABLE, 'the replica is halted')
-        envelope: Envelope = await stream.recv_message()
-        for message in envelope.messages:
-            self._driver.receive(message)
-        await stream.send_message(Receipt())
-
     def _flush(self) -> None:
         """Append everything that was proposed in this turn of the loop."""
         queue = self._queue
--- a/medlarhoist/source/ledger_driver.py
+++ b/medlarhoist/source/ledger_driver.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from loguru import logger
+from msgspec.structs import replace
 
 from medlarhoist.consensus.log_file import Disk, LogFile, open_folder
 from medlarhoist.consensus.message import Event, Message, Resign, Tick
@@ -18,7 +19,7 @@
 from medlarhoist.consensus.step import Step, step
 from medlarhoist.core.resource import Fault
 from medlarhoist.core.settings import SourceSettings
-from medlarhoist.source.ledger_link import PeerLink, create_link
+from medlarhoist.source.ledger_link import PeerLink, create_link, place_of
 
 TICK_SECONDS: Final = 0.05
 
@@ -45,6 +46,7 @@
         '_links',
         '_on_halted',
         '_on_stepped',
+        '_pointed',
         '_task',
         'fault',
         'replica',
@@ -63,6 +65,7 @@
         self._on_stepped = on_stepped
         self._on_halted = on_halted
         self._links: dict[str, PeerLink] = {}
+        self._pointed: dict[str, str] = {}
         self._folder: LogFile | None = None
         self._task: asyncio.Task[None] | None = None
         self.replica: Replica | None = None
@@ -79,9 +82,7 @@
         ]
         replica = self._recover(tuple(peer.name for peer in peers))
         self.replica = replica
-        for peer in peers:
-            self._links[peer.name] = create_link(self._cfg, peer)
-            self._links[peer.name].start()
+        self._relink(replica)
         self._task = asyncio.create_task(self._run())
         return replica
 
@@ -94,6 +95,38 @@
             await link.stop()
         self._halt('the source stops')
 
+    def places(self) -> dict[str, str]:
+        """Return where each source is, by name."""
+        places = {peer.name: place_of(peer) for peer in self._cfg.sources}
+        places[self._cfg.name] = place_of(self._cfg.own)
+        if self.replica is not None:
+            places.update(self.replica.places)
+        return places
+
+    def point(self, name: str, place: str) -> None:
+        """Send what is for a name to a spare source, until it is admitted.
+
+        Args:
+            name: name of a peer.
+            place: where the spare source is.
+        """
+        if self.replica is None or self._pointed.get(name) == place:
+            return
+        self._pointed[name] = place
+        self._relink(self.replica)
+
+    def _relink(self, replica: Replica) -> None:
+        """Open a link to each peer whose place is new."""
+        places = {**self.places(), **replica.places, **self._pointed}
+        for name in replica.peers:
+            link = self._links.get(name)
+            if link is not None and link.place == places[name]:
+                continue
+            if link is not None:
+                link.close()
+            self._links[name] = create_link(self._cfg, name, places[name])
+            self._links[name].start()
+
     def links(self) -> dict[str, bool]:
         """Say for each peer whether messages reach it."""
         return {name: link.is_up for name, link in self._links.items()}
@@ -116,11 +149,22 @@
             asyncio.get_running_loop().call_soon(self._resign)
             return False
         self.replica = taken.replica
+        if taken.replica.places is not before.places:
+            self._follow_places(before, taken.replica)
         for message in taken.messages:
             self._links[message.receiver].send(message)
         self._on_stepped(before, taken.replica)
         return True
 
+    def _follow_places(self, before: Replica, after: Replica) -> None:
+        for name, place in after.places.items():
+            if before.places.get(name) != place:
+                self._pointed.pop(name, None)
+                logger.bind(name=name, place=place).info(
+                    'ledger: a source has a new place',
+                )
+        self._relink(after)
+
     def _recover(self, peers: tuple[str, ...]) -> Replica:
         opened = open_folder(self._cfg.data_folder, self._disk)
         if opened.is_err():
@@ -132,7 +176,7 @@
             raise StorageDamaged(loaded.unwrap_err())
         self._folder = folder
         stored = loaded.unwrap()
-        return create_replica(
+        replica = create_replica(
             self._cfg.name,
             peers,
             stored.hard,
@@ -141,6 +185,7 @@
             time.monotonic(),
             random.random,
         )
+        return replace(replica, place=place_of(self._cfg.own))
 
     async def _run(self) -> None:
         while self.replica is not None:
--- a/medlarhoist/source/ledger_link.py
+++ b/medlarhoist/source/ledger_link.py
@@ -16,6 +16,7 @@
 from msgspec import Struct
 
 from medlarhoist.consensus.message import Message
+from medlarhoist.consensus.placing import Offer, Placement
 from medlarhoist.core.settings import Peer, SourceSettings
 from medlarhoist.wire.rpc import Method, call, create_channel
 
@@ -39,6 +40,11 @@
     request=Envelope,
     reply=Receipt,
 )
+OFFER: Final = Method(
+    path='/medlarhoist.Consensus/Offer',
+    request=Offer,
+    reply=Placement,
+)
 _FAILURES: Final = (
     GRPCError,
     OSError,
@@ -48,13 +54,31 @@
 
 
 class PeerLink:
-    """The way to one other source."""
-
-    __slots__ = ('_connect', '_is_up', '_name', '_queue', '_task', '_wake')
+    """The way to one other source.
+
+    Args:
+        place: where it is.
+    """
+
+    __slots__ = (
+        '_connect',
+        '_is_up',
+        '_name',
+        '_queue',
+        '_task',
+        '_wake',
+        'place',
+    )
 
-    def __init__(self, name: str, connect: Callable[[], Channel]) -> None:
+    def __init__(
+        self,
+        name: str,
+        place: str,
+        connect: Callable[[], Channel],
+    ) -> None:
         """Keep the way to open a channel; start() begins to send."""
         self._name = name
+        self.place = place
         self._connect = connect
         self._queue: deque[Message] = deque(maxlen=MAX_QUEUED_MESSAGES)
         self._wake = asyncio.Event()
@@ -75,6 +99,11 @@
         self._queue.append(message)
         self._wake.set()
 
+    def close(self) -> None:
+        """Drop what is queued and stop sending, without waiting."""
+        if self._task is not None:
+            self._task.cancel()
+
     async def stop(self) -> None:
         """Drop what is queued and stop sending."""
         if self._task is not None:
@@ -115,10 +144,29 @@
         logger.info('ledger: link to {} is {}{}', self._name, state, detail)
 
 
-def create_link(cfg: SourceSettings, peer: Peer) -> PeerLink:
-    """Return the link from this source to another one."""
+def create_link(cfg: SourceSettings, name: str, place: str) -> PeerLink:
+    """Return the link from this source to another one.
+
+    Args:
+        cfg: settings of this source.
+        name: name of the other one.
+        place: where it is.
+    """
     key = cfg.shared_key.encode()
+    control = peer_at(name, place).control
     return PeerLink(
-        peer.name,
-        partial(create_channel, peer.control, key, cfg.name),
+        name,
+        place,
+        partial(create_channel, control, key, cfg.name),
     )
+
+
+def place_of(peer: Peer) -> str:
+    """Return where a source is, as the log keeps it."""
+    return f'{peer.control} {peer.api}'
+
+
+def peer_at(name: str, place: str) -> Peer:
+    """Return a source by its name and place."""
+    control, _, api = place.partition(' ')
+    return Peer(name=name, control=control, api=api)
--- a/medlarhoist/source/ledger_machine.py
+++ b/medlarhoist/source/ledger_machine.py
@@ -65,6 +65,7 @@
             index=self.applied,
             term=term,
             voters=replica.voters,
+            places=replica.places,
             body=encode(self.state),
         )
 
--- a/medlarhoist/utils/loop.py
+++ b/medlarhoist/utils/loop.py
@@ -106,6 +106,15 @@
     return Host(loop)
 
 
+def listen_for_stop() -> asyncio.Event:
+    """Return an event that SIGTERM and SIGINT set."""
+    loop = asyncio.get_running_loop()
+    asked = asyncio.Event()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, asked.set)
+    return asked
+
+
 async def run_until_stopped(stop: Callback) -> None:
     """Wait for SIGTERM or SIGINT, then run the graceful stop.
 
@@ -113,9 +122,5 @@
         stop: drains and closes every part of the process; a second signal
             does not shorten it.
     """
-    loop = asyncio.get_running_loop()
-    asked = asyncio.Event()
-    for signum in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signum, asked.set)
-    await asked.wait()
+    await listen_for_stop().wait()
     await stop()
--- a/medlarhoist/wire/message.py
+++ b/medlarhoist/wire/message.py
@@ -161,10 +161,12 @@
     Args:
         sets: the keeper sets of all failure domains.
         leader: control address of the leader of the sources, if known.
+        sources: control addresses of all sources.
     """
 
     sets: tuple[KeeperSet, ...]
     leader: str = ''
+    sources: tuple[str, ...] = ()
 
 
 class FloorQuery(Struct, frozen=True, kw_only=True, tag='floor-query'):
