Queue by urgency, place by predicted end, tell callers when to return

Now: no call is refused while a slot is free; one waits only where it can end within its objective; those due first go first, own calls before spilled ones; nodes tell their load with each answer and calls go where they are predicted to end first; a refusal says when to return, spread.

--- a/bench/calls_static.py
+++ b/bench/calls_static.py
@@ -109,7 +109,13 @@
     timeout of 200 ms.
     """
     routes = (
-        Route(name='all', prefix='/', service=SERVICE, timeout_ms=10_000),
+        Route(
+            name='all',
+            prefix='/',
+            service=SERVICE,
+            timeout_ms=10_000,
+            objective_ms=200,
+        ),
         Route(
             name='sights',
             prefix='/sights',
--- a/medlarhoist/core/balance.py
+++ b/medlarhoist/core/balance.py
@@ -1,17 +1,25 @@
 """Balance: picks the version and the target of one call.
 
 What this node sees of its own calls decides: outstanding calls, observed
-latency and recent failures. What a target says of its health only removes
-targets (warming, draining) and never adds weight.
+latency and recent failures, and the load that the node of a target tells with
+each answer. What a target says of its health only removes targets (warming,
+draining) and never adds weight.
+
+Targets of one version differ in speed and turn slow when they are new or
+faulty, so calls go where they are predicted to end first. Another failure
+domain's target must be clearly better than an own one, as calls between
+domains cost time and bytes.
 """
 
 from collections.abc import Callable, Mapping, Sequence
-from math import ceil
+from math import ceil, inf
 from random import Random
 from typing import Final
 
 from msgspec import Struct
+from msgspec.structs import replace
 
+from medlarhoist.core.limit import START_ESTIMATE_S, Load, wait_seconds
 from medlarhoist.core.snapshot import FULL_SHARE, Share
 from medlarhoist.core.target import Target, TargetPhase
 
@@ -19,11 +27,19 @@
 FAILURES_TO_EJECT: Final = 5
 EJECTION_S: Final = 5.0
 REFUSAL_PAUSE_S: Final = 0.05
+# A few answers' time at a usual rate; after it the load is a guess.
+REPORT_LIFE_S: Final = 1.0
+FAR_FACTOR: Final = 1.5
+# A target without a free slot is used where no usable one has any.
+FULL_FACTOR: Final = 10
+FAR_EXTRA_S: Final = 0.005
+# Nodes that hold the same reports must not all pick the same target.
+JITTER: Final = 0.1
 UNREACHABLE_PAUSE_S: Final = 1.0
 EJECTABLE_SHARE: Final = 0.5
 FAILURE_WEIGHT: Final = 20
 NEVER_S: Final = -1.0
-_FIRST_LATENCY_S: Final = 0.001
+_FIRST_LATENCY_S: Final = START_ESTIMATE_S
 
 
 class Place(Struct, frozen=True):
@@ -44,25 +60,34 @@
     Args:
         outstanding: calls in progress from this node.
         latency_s: smoothed time to the end of an answer, seconds.
+        answers: whole answers, as far as they matter for the average.
         failures: calls that failed in a row.
         failure_rate: smoothed part of the calls that failed, 0 to 1.
         ejected_until: time before which it is passed over, seconds.
         full_until: time before which it counts as full, seconds.
         used_at: when a call was last sent to it, seconds.
+        load: what its node last told of its load, None for nothing.
+        load_at: when that was, seconds.
+        sent_since: calls sent to it from here since then.
     """
 
     __slots__ = (
+        'answers',
         'ejected_until',
         'failure_rate',
         'failures',
         'full_until',
         'latency_s',
+        'load',
+        'load_at',
         'outstanding',
+        'sent_since',
         'used_at',
     )
 
     def __init__(self) -> None:
         """Start without any observation."""
+        self.answers = 0
         self.outstanding = 0
         self.latency_s = _FIRST_LATENCY_S
         self.failures = 0
@@ -70,12 +95,41 @@
         self.ejected_until = NEVER_S
         self.full_until = NEVER_S
         self.used_at = NEVER_S
+        self.load: Load | None = None
+        self.load_at = NEVER_S
+        self.sent_since = 0
+
+    def send(self, now: float) -> None:
+        """Take in that a call is sent to it."""
+        self.outstanding += 1
+        self.sent_since += 1
+        self.used_at = now
+
+    def report(self, load: Load, now: float) -> None:
+        """Take in what its node tells of its load."""
+        self.load = load
+        self.load_at = now
+        self.sent_since = 0
+
+    def present_load(self, slots: int, now: float) -> Load:
+        """Return its load as far as it is known here.
+
+        Args:
+            slots: slots that it announces.
+            now: present time, seconds.
+        """
+        told = self.load
+        if told is None or now - self.load_at > REPORT_LIFE_S:
+            return Load(slots, self.outstanding, 0, self.latency_s)
+        return replace(told, used=told.used + self.sent_since)
 
     def succeed(self, latency_s: float) -> None:
         """Take in a whole answer below status 500."""
         self.failures = 0
         self.failure_rate -= SMOOTHING * self.failure_rate
-        self.latency_s += SMOOTHING * (latency_s - self.latency_s)
+        self.answers += 1
+        weight = max(SMOOTHING, 1 / self.answers)
+        self.latency_s += weight * (latency_s - self.latency_s)
 
     def fail(self, now: float) -> None:
         """Take in a failure; several in a row eject the target."""
@@ -130,8 +184,8 @@
 ) -> Target | None:
     """Return the target for one attempt, or None where none is ready.
 
-    Targets of the own failure domain come first; others are used where no
-    own target is left that is ready and has room.
+    Targets of the own failure domain come first; others are used where they
+    are clearly better, and where no own one is ready and has room.
 
     Args:
         targets: the known targets that this call has not tried yet.
@@ -141,29 +195,48 @@
         draw: source of randomness.
     """
     ready = [target for target in targets if target.phase is TargetPhase.READY]
-    if not ready:
-        return None
     own = [target for target in ready if target.domain == place.domain]
     far = [target for target in ready if target.domain != place.domain]
-    for group in (own, far):
-        open_ones = [
-            target
-            for target in _without_ejected(group, views, now)
-            if _has_room(target, views[target.address], now)
-        ]
-        if open_ones:
-            return _pick_of_two(open_ones, views, place.address, draw)
-    return _pick_of_two(own or far, views, place.address, draw)
-
-
-def score(view: TargetView) -> float:
-    """Return the expected cost of a target; lower is better."""
-    penalty = 1 + FAILURE_WEIGHT * view.failure_rate
-    return (view.outstanding + 1) * view.latency_s * penalty
-
+    usable = [
+        *_without_ejected(own, views, now),
+        *_without_ejected(far, views, now),
+    ]
+    reachable = [
+        target for target in usable if views[target.address].full_until <= now
+    ]
+    best: Target | None = None
+    lowest = inf
+    for target in reachable or usable:
+        cost = cost_seconds(target, views[target.address], place, now)
+        cost *= draw.uniform(1, 1 + JITTER)
+        if cost < lowest:
+            best, lowest = target, cost
+    return best
+
+
+def cost_seconds(
+    target: Target,
+    view: TargetView,
+    place: Place,
+    now: float,
+) -> float:
+    """Return the expected time of a call, weighted; lower is better.
 
-def _has_room(target: Target, view: TargetView, now: float) -> bool:
-    return view.full_until <= now and view.outstanding < target.slots
+    Args:
+        target: where it would go.
+        view: what this node has seen of it.
+        place: where this node is.
+        now: present time, seconds.
+    """
+    load = view.present_load(target.slots, now)
+    cost = load.busy_s
+    if load.used >= load.slots or load.waiting:
+        cost += wait_seconds(load, load.waiting) if load.slots else inf
+        cost *= FULL_FACTOR
+    cost *= 1 + FAILURE_WEIGHT * view.failure_rate
+    if target.domain != place.domain:
+        cost = cost * FAR_FACTOR + FAR_EXTRA_S
+    return cost
 
 
 def _without_ejected(
@@ -186,27 +259,3 @@
         key=lambda target: views[target.address].ejected_until,
     )
     return ranked[:least]
-
-
-def _pick_of_two(
-    group: Sequence[Target],
-    views: Views,
-    own_address: str,
-    draw: Random,
-) -> Target:
-    """Pick the better of two; the target of this VM is always one of them."""
-    if len(group) == 1:
-        return group[0]
-    first, second = draw.sample(group, 2)
-    if second.address != own_address:
-        first = _find(group, own_address) or first
-    if score(views[second.address]) < score(views[first.address]):
-        return second
-    return first
-
-
-def _find(group: Sequence[Target], address: str) -> Target | None:
-    for target in group:
-        if target.address == address:
-            return target
-    return None
--- a/medlarhoist/core/deadline.py
+++ b/medlarhoist/core/deadline.py
@@ -6,6 +6,8 @@
 
 from typing import Final
 
+from medlarhoist.core.resource import Route
+
 LONGEST_MS: Final = 600_000
 HOP_MARGIN_MS: Final = 3
 _DIGITS: Final = 7
@@ -36,6 +38,24 @@
     return now + left_ms / _MS_PER_SECOND
 
 
+def find_due(now: float, deadline: float, route: Route) -> float:
+    """Return when an answer of a call begins to lose worth, seconds.
+
+    The objective counts from the caller's first attempt. A caller that comes
+    back has less time left than the route gives, so what is missing was spent
+    before.
+
+    Args:
+        now: present time, seconds.
+        deadline: end of the call, seconds.
+        route: its route.
+    """
+    objective_ms = route.objective_ms or route.timeout_ms
+    spent_ms = route.timeout_ms - (deadline - now) * _MS_PER_SECOND
+    due = now + (objective_ms - max(0, spent_ms)) / _MS_PER_SECOND
+    return min(deadline, due)
+
+
 def left_for_next_hop_ms(deadline: float, now: float) -> int:
     """Return the milliseconds to grant to the next hop, never below zero.
 
--- a/medlarhoist/core/limit.py
+++ b/medlarhoist/core/limit.py
@@ -2,17 +2,31 @@
 
 The node is the only one that speaks to its target, so the slots it counts are
 the slots in use, and a refusal here is surely before the first byte.
+
+Under more load than a target can carry, calls that wait long all end late. So
+a call waits only where it can still end within its objective, the rest are
+refused at once and may come back, and among those that wait the more urgent
+go first: first by priority, then those that are due first. Calls that a
+running request makes have short objectives, so they go before new requests
+of the same rank, whose work would be lost with them.
 """
 
 from enum import Enum
-from math import ceil
+from random import Random
 from typing import Final
 
 from msgspec import Struct
 
-SPILL_SHARE: Final = 0.7
-QUEUE_SHARE: Final = 0.5
-START_ESTIMATE_S: Final = 0.01
+# The usual work of a call; a new target is not yet known to be quicker.
+START_ESTIMATE_S: Final = 0.1
+# Calls of the own failure domain go first among calls that are due together.
+SPILL_DELAY_SHARE: Final = 0.5
+# Callers that were refused together must not come back together.
+RETURN_SPREAD: Final = 0.5
+SOONEST_RETURN_S: Final = 0.02
+LATEST_RETURN_S: Final = 5.0
+
+Key = tuple[int, bool, float]
 
 
 class Admission(Enum):
@@ -39,32 +53,88 @@
     busy_s: float = START_ESTIMATE_S
 
 
-def admit(load: Load, left_s: float, *, is_spilled: bool) -> Admission:
-    """Decide on one call.
+class Need(Struct, frozen=True, kw_only=True):
+    """What a call needs; times are seconds of the monotonic clock.
+
+    Args:
+        priority: rank of its route, zero for the highest.
+        deadline: when nobody waits for an answer any more.
+        due: when an answer begins to lose worth; may be past.
+        is_spilled: whether it comes from another failure domain.
+    """
+
+    priority: int = 0
+    deadline: float
+    due: float
+    is_spilled: bool = False
 
-    Calls that spilled from another failure domain get a part of the slots
-    and never wait, so that the loss of one domain leaves room for the own
-    calls of the next.
+
+def order_key(need: Need, now: float) -> Key:
+    """Return the key by which waiting calls are sorted, the first one first.
+
+    Args:
+        need: what the call needs.
+        now: when it arrived, seconds.
+    """
+    is_late = need.due <= now
+    end = need.deadline if is_late else need.due
+    if need.is_spilled:
+        end += SPILL_DELAY_SHARE * (end - now)
+    return need.priority, is_late, end
+
+
+def admit(load: Load, need: Need, now: float, ahead: int) -> Admission:
+    """Decide on one call.
 
     Args:
         load: present load of the target.
-        left_s: time to the deadline of the call, seconds.
-        is_spilled: whether it comes from another failure domain.
+        need: what the call needs.
+        now: present time, seconds.
+        ahead: waiting calls that go before it.
     """
-    if left_s <= 0:
+    if need.deadline <= now:
         return Admission.REFUSE
-    if is_spilled:
-        has_room = load.used < ceil(load.slots * SPILL_SHARE)
-        return Admission.START if has_room else Admission.REFUSE
-    if load.used < load.slots and load.waiting == 0:
+    if load.used < load.slots and not load.waiting:
         return Admission.START
-    return _admit_to_queue(load, left_s)
+    if can_end_in_time(load, need, now, ahead):
+        return Admission.WAIT
+    return Admission.REFUSE
 
 
-def _admit_to_queue(load: Load, left_s: float) -> Admission:
-    if load.waiting >= ceil(load.slots * QUEUE_SHARE):
-        return Admission.REFUSE
-    turns = (load.waiting + 1) / max(1, load.slots)
-    if turns * load.busy_s + load.busy_s > left_s:
-        return Admission.REFUSE
-    return Admission.WAIT
+def can_end_in_time(load: Load, need: Need, now: float, ahead: int) -> bool:
+    """Say whether a waiting call is predicted to end before it loses worth.
+
+    One that has lost worth already must end before its deadline.
+    """
+    if not load.slots:
+        return False
+    limit = need.due if need.due > now else need.deadline
+    return now + wait_seconds(load, ahead) + load.busy_s <= limit
+
+
+def wait_seconds(load: Load, ahead: int) -> float:
+    """Return how long a call is predicted to wait for a slot.
+
+    Args:
+        load: present load of the target, which has slots.
+        ahead: waiting calls that go before it.
+    """
+    excess = max(0, load.used - load.slots)
+    return (ahead + excess + 1) * load.busy_s / load.slots
+
+
+def return_seconds(load: Load, draw: Random) -> float:
+    """Return after which time a refused call is told to come back.
+
+    That is when those that wait now are predicted to have a slot, spread so
+    that callers who were refused in one burst return one by one.
+
+    Args:
+        load: load of the target that refused it.
+        draw: source of randomness.
+    """
+    wait_s = SOONEST_RETURN_S
+    if load.slots:
+        wait_s = max(wait_s, wait_seconds(load, load.waiting))
+    spread = draw.uniform(1 - RETURN_SPREAD, 1 + RETURN_SPREAD)
+    return min(LATEST_RETURN_S, wait_s * spread)
--- a/medlarhoist/node/proxy/attempt.py
+++ b/medlarhoist/node/proxy/attempt.py
@@ -6,6 +6,7 @@
 
 from medlarhoist.core.hop import Header
 from medlarhoist.core.hop_check import Framing
+from medlarhoist.core.limit import Load
 from medlarhoist.core.verdict import Verdict
 from medlarhoist.node.proxy.body import Body, BodyTooLarge, ShortBody
 
@@ -20,12 +21,19 @@
         reason: short phrase for the caller and the log.
         status: HTTP status for the caller.
         is_unreachable: whether no connection was had.
+        has_arrived: whether the request reached a target, which then refused
+            it; a refusal by its node loads no target.
+        load: load of the target, as its node told it with the refusal.
+        return_s: when the caller may come back, seconds; zero for not told.
     """
 
     verdict: Verdict
     reason: str
     status: int = 503
     is_unreachable: bool = False
+    has_arrived: bool = False
+    load: Load | None = None
+    return_s: float = 0
 
 
 class Progress:
--- a/medlarhoist/node/proxy/call.py
+++ b/medlarhoist/node/proxy/call.py
@@ -2,7 +2,7 @@
 
 import time
 
-from medlarhoist.core.deadline import start_deadline
+from medlarhoist.core.deadline import find_due, start_deadline
 from medlarhoist.core.dialect import Dialect, drop_reserved, read_id
 from medlarhoist.core.hop import (
     find_header,
@@ -11,7 +11,7 @@
 from medlarhoist.core.resource import Route
 from medlarhoist.core.target import Target
 from medlarhoist.core.verdict import Verdict
-from medlarhoist.node.proxy.attempt import Progress, Request, Source
+from medlarhoist.node.proxy.attempt import Failure, Progress, Request, Source
 from medlarhoist.node.proxy.exchange import Exchange
 
 
@@ -24,18 +24,22 @@
         label: version it goes to, empty for any.
         stable_label: version that may take it where the new one refuses.
         deadline: its end, seconds of the monotonic clock.
+        due: when an answer begins to lose worth, on the same clock.
         request: what each attempt sends.
         source: the request's body.
         tried: addresses of the targets that were tried.
         last: the target of the present attempt.
+        arrivals: targets that the request has reached.
         may_have_run: whether any attempt may have run.
         version: configuration version that it is routed by.
         caller_id: the caller's id of the request, empty where it has none.
     """
 
     __slots__ = (
+        'arrivals',
         'caller_id',
         'deadline',
+        'due',
         'label',
         'last',
         'may_have_run',
@@ -71,8 +75,10 @@
             find_header(head.headers, dialect.deadline),
             route.timeout_ms,
         )
+        self.due = find_due(self.started, self.deadline, route)
         self.source = Source(exchange.body)
         self.tried: set[str] = set()
+        self.arrivals = 0
         self.may_have_run = False
         self.last: Target | None = None
         headers = drop_reserved(dialect, forward_headers(head.headers))
@@ -88,6 +94,11 @@
             is_idempotent=route.idempotent,
         )
 
+    def count_arrival(self, failure: Failure) -> None:
+        """Count an attempt that reached a target, or may have."""
+        may_have_run = failure.verdict is not Verdict.DID_NOT_RUN
+        self.arrivals += may_have_run or failure.has_arrived
+
     @property
     def verdict(self) -> Verdict:
         """Return what is known of all attempts together."""
--- a/medlarhoist/node/proxy/entry.py
+++ b/medlarhoist/node/proxy/entry.py
@@ -16,6 +16,7 @@
 from medlarhoist.core.compile import Compiled
 from medlarhoist.core.dialect import Dialect
 from medlarhoist.core.hop import find_header
+from medlarhoist.core.limit import Need
 from medlarhoist.core.split import Splitter
 from medlarhoist.core.target import Target
 from medlarhoist.core.verdict import Verdict, may_retry
@@ -31,6 +32,8 @@
 from medlarhoist.node.proxy.relay import refuse, relay
 from medlarhoist.node.proxy.remote import Remote
 
+# Nodes of targets that one call is offered to.
+ASKED_LIMIT: Final = 4
 _MS_PER_SECOND: Final = 1000
 _NO_CONFIGURATION: Final = Failure(
     Verdict.DID_NOT_RUN,
@@ -167,21 +170,29 @@
     ) -> Failure | None:
         """Make attempts until one is answered; return the last failure."""
         failure = _NO_TARGET
-        for attempt in range(call.route.attempts):
+        for attempt in range(ASKED_LIMIT):
             if attempt and not self._may_try_again(call, failure):
                 return failure
-            target = self._pick_target(call)
-            if target is None and self._fall_back(call, failure):
-                target = self._pick_target(call)
+            target = self._find_target(call, failure)
             if target is None:
                 return failure
             outcome = await self._attempt(exchange, call, target)
             if outcome is None:
                 return None
             failure = outcome
+            call.count_arrival(failure)
         return failure
 
+    def _find_target(self, call: Call, failure: Failure) -> Target | None:
+        target = self._pick_target(call)
+        if target is None and self._fall_back(call, failure):
+            target = self._pick_target(call)
+        return target
+
     def _pick_target(self, call: Call) -> Target | None:
+        own = self._parts.choice.views.get(self._parts.peer_address)
+        if own is not None:
+            own.report(self._parts.local.load, time.monotonic())
         return self._parts.choice.pick_target(
             call.service,
             call.label,
@@ -203,7 +214,10 @@
         )
         if not is_safe or not call.source.is_replayable or call.source.fault:
             return False
-        if not failure.is_unreachable and not self._spend(call):
+        if call.arrivals >= call.route.attempts:
+            return False
+        loads_target = call.may_have_run or failure.has_arrived
+        if loads_target and not self._spend(call):
             return False
         self.retries += 1
         return True
@@ -226,8 +240,7 @@
         call.tried.add(target.address)
         call.last = target
         view = self._parts.choice.views[target.address]
-        view.outstanding += 1
-        view.used_at = time.monotonic()
+        view.send(time.monotonic())
         try:
             outcome = await self._send(call, target)
             if isinstance(outcome, Failure):
@@ -245,8 +258,12 @@
             request_id=f'{self._prefix}-{self._count}'.encode(),
             service=call.service,
             label=call.label,
-            deadline=call.deadline,
-            is_spilled=target.domain != self._parts.domain,
+            need=Need(
+                priority=call.route.priority,
+                deadline=call.deadline,
+                due=call.due,
+                is_spilled=target.domain != self._parts.domain,
+            ),
         )
         if target.address == self._parts.peer_address:
             return await self._parts.local.call(call.request, order)
--- a/medlarhoist/node/proxy/local.py
+++ b/medlarhoist/node/proxy/local.py
@@ -6,6 +6,7 @@
 
 import time
 from collections.abc import Callable
+from random import Random
 
 from msgspec import Struct, structs
 
@@ -17,7 +18,7 @@
     read_id,
 )
 from medlarhoist.core.hop import REQUEST_HEADER, Header, find_header
-from medlarhoist.core.limit import Load
+from medlarhoist.core.limit import Load, Need, return_seconds
 from medlarhoist.core.presence import is_same_run
 from medlarhoist.core.resource import Service
 from medlarhoist.core.target import TargetNotice, TargetPhase
@@ -38,15 +39,18 @@
         request_id: unique for each attempt.
         service: name of the service.
         label: version that the entry node chose, empty for any.
-        deadline: end of the call, seconds of the monotonic clock.
-        is_spilled: whether it comes from another failure domain.
+        need: how urgent it is.
     """
 
     request_id: bytes
     service: str
     label: str
-    deadline: float
-    is_spilled: bool
+    need: Need
+
+    @property
+    def deadline(self) -> float:
+        """Return the end of the call, seconds of the monotonic clock."""
+        return self.need.deadline
 
 
 class LocalTarget:
@@ -54,6 +58,7 @@
 
     __slots__ = (
         '_dialect',
+        '_draw',
         '_find_service',
         '_is_draining',
         '_notice',
@@ -71,6 +76,7 @@
             dialect: the headers that the target knows.
         """
         self._dialect = dialect
+        self._draw = Random()  # noqa: S311  spreads returns only
         self._find_service = find_service
         self._notice: TargetNotice | None = None
         self._pool = Pool('')
@@ -118,7 +124,12 @@
             left_s = order.deadline - time.monotonic()
             caller_id = read_id(self._dialect, request.headers)
             log_refusal(caller_id, fault, self.load, left_s)
-            return Failure(Verdict.DID_NOT_RUN, fault)
+            return Failure(
+                Verdict.DID_NOT_RUN,
+                fault,
+                load=self.load,
+                return_s=return_seconds(self.load, self._draw),
+            )
         started = time.monotonic()
         sent = self._address(request, order)
         try:
@@ -169,7 +180,11 @@
             return Failure(Verdict.MAY_HAVE_RUN, 'crossed answer', 502)
         if is_refusal(self._dialect, answer.head.status, headers):
             answer.close()
-            return Failure(Verdict.DID_NOT_RUN, 'refused by the target')
+            return Failure(
+                Verdict.DID_NOT_RUN,
+                'refused by the target',
+                has_arrived=True,
+            )
         return answer
 
     def _address(self, request: Request, order: Order) -> Request:
@@ -191,8 +206,7 @@
         fault = self._find_fault(order)
         if fault:
             return fault
-        is_spilled = order.is_spilled
-        if not await self._slots.take(order.deadline, is_spilled=is_spilled):
+        if not await self._slots.take(order.need):
             return 'no slot'
         # Another target may be here after a wait.
         fault = self._find_fault(order)
--- a/medlarhoist/node/proxy/observer.py
+++ b/medlarhoist/node/proxy/observer.py
@@ -8,6 +8,8 @@
 from typing import Final
 
 from medlarhoist.core.balance import TargetView
+from medlarhoist.core.hop import LOAD_HEADER, find_header
+from medlarhoist.core.hop_need import read_load
 from medlarhoist.core.ports import CallRecorder
 from medlarhoist.core.verdict import Verdict
 from medlarhoist.node.proxy.attempt import Failure
@@ -35,6 +37,7 @@
     def note_answer(self, call: Call, answer: Answer, *, whole: bool) -> None:
         """Note an answer that was passed on, or broke off."""
         view = self._find_view(call)
+        self._note_load(view, answer)
         status = answer.head.status
         if status == LATE_STATUS and not self._was_fair(call):
             return
@@ -46,10 +49,17 @@
         took_s = (answer.ended_at or time.monotonic()) - call.started
         self._record(call, took_s, succeeded=is_good, refused=False)
 
+    def _note_load(self, view: TargetView, answer: Answer) -> None:
+        told = read_load(find_header(answer.head.headers, LOAD_HEADER))
+        if told is not None:
+            view.report(told, time.monotonic())
+
     def note_attempt(self, call: Call, failure: Failure) -> None:
         """Note an attempt without an answer."""
         view = self._find_view(call)
         now = time.monotonic()
+        if failure.load is not None:
+            view.report(failure.load, now)
         if failure.verdict is not Verdict.DID_NOT_RUN:
             call.may_have_run = True
             if self._is_evidence(call, failure):
@@ -58,7 +68,7 @@
         call.request.progress.sent = False
         if failure.is_unreachable:
             view.miss(now)
-        else:
+        elif failure.load is None:
             view.refuse(now)
 
     def note_timeout(self, call: Call) -> None:
--- a/medlarhoist/node/proxy/peer.py
+++ b/medlarhoist/node/proxy/peer.py
@@ -10,12 +10,15 @@
     DEADLINE_HEADER,
     DOMAIN_HEADER,
     LABEL_HEADER,
+    LOAD_HEADER,
+    NEED_HEADER,
     REQUEST_HEADER,
     SERVICE_HEADER,
     TOKEN_HEADER,
     Header,
     forward_headers,
 )
+from medlarhoist.core.hop_need import read_need, write_load
 from medlarhoist.core.verdict import Verdict
 from medlarhoist.node.proxy.attempt import Failure, Progress, Request, Source
 from medlarhoist.node.proxy.exchange import Exchange
@@ -110,7 +113,8 @@
             refuse(exchange, outcome, echo)
             return
         try:  # noqa: WPS501
-            await relay(exchange, outcome, echo)
+            load = (LOAD_HEADER, write_load(self._local.load))
+            await relay(exchange, outcome, (*echo, load))
         finally:
             outcome.close()
 
@@ -120,12 +124,17 @@
         service = headers.get(SERVICE_HEADER)
         if request_id is None or left_ms is None or service is None:
             return None
+        now = time.monotonic()
         return Order(
             request_id=request_id,
             service=service.decode('latin-1'),
             label=headers.get(LABEL_HEADER, b'').decode('latin-1'),
-            deadline=time.monotonic() + left_ms / _MS_PER_SECOND,
-            is_spilled=headers.get(DOMAIN_HEADER) != self._domain,
+            need=read_need(
+                headers.get(NEED_HEADER),
+                now + left_ms / _MS_PER_SECOND,
+                now,
+                is_spilled=headers.get(DOMAIN_HEADER) != self._domain,
+            ),
         )
 
     def _is_authentic(self, token: bytes) -> bool:
--- a/medlarhoist/node/proxy/relay.py
+++ b/medlarhoist/node/proxy/relay.py
@@ -3,12 +3,16 @@
 from collections.abc import Iterable
 
 from medlarhoist.core.hop import (
+    ARRIVED_HEADER,
+    LOAD_HEADER,
     REASON_HEADER,
+    RETRY_AFTER,
     VERDICT,
     Header,
     forward_headers,
 )
 from medlarhoist.core.hop_check import Framing
+from medlarhoist.core.hop_need import write_load
 from medlarhoist.node.proxy.attempt import Failure
 from medlarhoist.node.proxy.body import BodyTooLarge, ShortBody
 from medlarhoist.node.proxy.client import Answer
@@ -67,4 +71,10 @@
         (b'content-type', b'text/plain'),
         *extra,
     ]
+    if failure.return_s:
+        headers.append((RETRY_AFTER, b'%.3f' % failure.return_s))
+    if failure.load is not None:
+        headers.append((LOAD_HEADER, write_load(failure.load)))
+    if failure.has_arrived:
+        headers.append((ARRIVED_HEADER, b'1'))
     exchange.answer(failure.status, headers, b'%b\n' % reason)
--- a/medlarhoist/node/proxy/remote.py
+++ b/medlarhoist/node/proxy/remote.py
@@ -8,22 +8,28 @@
 
 from medlarhoist.core.deadline import left_for_next_hop_ms
 from medlarhoist.core.hop import (
+    ARRIVED_HEADER,
     DEADLINE_HEADER,
     DOMAIN_HEADER,
     LABEL_HEADER,
+    LOAD_HEADER,
+    NEED_HEADER,
     REASON_HEADER,
     REQUEST_HEADER,
+    RETRY_AFTER,
     SERVICE_HEADER,
     TOKEN_HEADER,
     VERDICT,
     Header,
     find_header,
 )
+from medlarhoist.core.hop_need import read_load, write_need
 from medlarhoist.core.verdict import Verdict
 from medlarhoist.node.proxy.attempt import Failure, Request
 from medlarhoist.node.proxy.client import Answer
 from medlarhoist.node.proxy.local import Order
 from medlarhoist.node.proxy.pool import Pool, send_request
+from medlarhoist.node.proxy.reader import Head
 from medlarhoist.wire.auth import make_token
 
 CROSSED: Final = Failure(Verdict.MAY_HAVE_RUN, 'crossed answer', 502)
@@ -119,6 +125,7 @@
             (DEADLINE_HEADER, b'%d' % left_ms),
             (SERVICE_HEADER, order.service.encode()),
             (LABEL_HEADER, order.label.encode()),
+            (NEED_HEADER, write_need(order.need, time.monotonic())),
             (DOMAIN_HEADER, self._domain),
             (TOKEN_HEADER, self._make_token()),
         ]
@@ -140,14 +147,28 @@
     verdict = find_header(headers, VERDICT)
     if verdict is None:
         return answer
-    reason = find_header(headers, REASON_HEADER) or b''
-    status = answer.head.status
     answer.close()
-    return _read_refusal(verdict.decode('latin-1'), reason, status)
+    return _read_refusal(verdict.decode('latin-1'), answer.head)
 
 
-def _read_refusal(verdict: str, reason: bytes, status: int) -> Failure:
+def _read_refusal(verdict: str, head: Head) -> Failure:
     known = Verdict.MAY_HAVE_RUN
     if verdict in tuple(Verdict):
         known = Verdict(verdict)
-    return Failure(known, reason.decode('latin-1'), status)
+    reason = find_header(head.headers, REASON_HEADER) or b''
+    return Failure(
+        known,
+        reason.decode('latin-1'),
+        head.status,
+        has_arrived=find_header(head.headers, ARRIVED_HEADER) is not None,
+        load=read_load(find_header(head.headers, LOAD_HEADER)),
+        return_s=_read_seconds(find_header(head.headers, RETRY_AFTER)),
+    )
+
+
+def _read_seconds(value: bytes | None) -> float:
+    """Return a time in seconds, zero where it is not told."""
+    try:
+        return float(value or 0)
+    except ValueError:
+        return 0
--- a/medlarhoist/node/proxy/slots.py
+++ b/medlarhoist/node/proxy/slots.py
@@ -2,14 +2,45 @@
 
 import asyncio
 import time
-from collections import deque
+from bisect import insort
 from collections.abc import Callable
+from operator import attrgetter
 from typing import Final
 
-from medlarhoist.core.limit import START_ESTIMATE_S, Admission, Load, admit
+from medlarhoist.core.limit import (
+    START_ESTIMATE_S,
+    Admission,
+    Key,
+    Load,
+    Need,
+    admit,
+    can_end_in_time,
+    order_key,
+)
 
 CANCEL_HOLD_S: Final = 0.05
 _SMOOTHING: Final = 0.1
+_KEY: Final = attrgetter('key')
+
+
+class _Waiter:
+    """A call that waits for a slot."""
+
+    __slots__ = ('fut', 'key', 'need')
+
+    def __init__(self, need: Need, key: Key) -> None:
+        self.fut: asyncio.Future[bool] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.key = key
+        self.need = need
+
+    def end(self, *, has_slot: bool) -> bool:
+        """Tell the call; say whether it was still there."""
+        if self.fut.done():
+            return False
+        self.fut.set_result(has_slot)
+        return True
 
 
 class Slots:
@@ -20,7 +51,7 @@
         peak: most slots ever in use at once.
     """
 
-    __slots__ = ('_busy_s', '_count', '_waiters', 'peak', 'used')
+    __slots__ = ('_busy_s', '_count', '_ended', '_waiters', 'peak', 'used')
 
     def __init__(self, count: Callable[[], int]) -> None:
         """Start without a request.
@@ -30,7 +61,8 @@
         """
         self._busy_s = START_ESTIMATE_S
         self._count = count
-        self._waiters: deque[asyncio.Future[bool]] = deque()
+        self._ended = 0
+        self._waiters: list[_Waiter] = []
         self.peak = 0
         self.used = 0
 
@@ -44,19 +76,16 @@
             self._busy_s,
         )
 
-    async def take(self, deadline: float, *, is_spilled: bool) -> bool:
-        """Take a slot, at once or after a wait; say whether there is one.
-
-        Args:
-            deadline: end of the call, seconds of the monotonic clock.
-            is_spilled: whether it comes from another failure domain.
-        """
-        left_s = deadline - time.monotonic()
-        admission = admit(self.load, left_s, is_spilled=is_spilled)
+    async def take(self, need: Need) -> bool:
+        """Take a slot, at once or after a wait; say whether there is one."""
+        now = time.monotonic()
+        key = order_key(need, now)
+        ahead = sum(waiter.key <= key for waiter in self._waiters)
+        admission = admit(self.load, need, now, ahead)
         if admission is Admission.REFUSE:
             return False
         if admission is Admission.WAIT:
-            return await self._wait()
+            return await self._wait(_Waiter(need, key))
         self.used += 1
         self.peak = max(self.peak, self.used)
         return True
@@ -64,9 +93,7 @@
     def free(self) -> None:
         """Hand the slot to the first that waits, or give it up."""
         while self._waiters and self.used <= self._count():
-            waiter = self._waiters.popleft()
-            if not waiter.done():
-                waiter.set_result(True)
+            if self._waiters.pop(0).end(has_slot=True):
                 return
         self.used -= 1
 
@@ -86,26 +113,40 @@
             self.free_later()
             return
         took_s = time.monotonic() - started
-        self._busy_s += _SMOOTHING * (took_s - self._busy_s)
+        self._ended += 1
+        weight = max(_SMOOTHING, 1 / self._ended)
+        self._busy_s += weight * (took_s - self._busy_s)
         self.free()
 
     def refuse_waiters(self) -> None:
         """Refuse all that wait."""
-        while self._waiters:
-            waiter = self._waiters.popleft()
-            if not waiter.done():
-                waiter.set_result(False)
+        waiters = self._waiters
+        self._waiters = []
+        for waiter in waiters:
+            waiter.end(has_slot=False)
 
-    async def _wait(self) -> bool:
+    async def _wait(self, waiter: _Waiter) -> bool:
         """Wait until a slot is handed over, or refused."""
-        loop = asyncio.get_running_loop()
-        waiter: asyncio.Future[bool] = loop.create_future()
-        self._waiters.append(waiter)
+        insort(self._waiters, waiter, key=_KEY)
+        self._refuse_overtaken(waiter)
         try:
-            return await waiter
+            return await waiter.fut
         except asyncio.CancelledError:
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
-            elif waiter.done() and not waiter.cancelled() and waiter.result():
+            elif not waiter.fut.cancelled() and waiter.fut.result():
                 self.free()
             raise
+
+    def _refuse_overtaken(self, newest: _Waiter) -> None:
+        """Refuse those behind a new call that cannot end in time any more."""
+        now = time.monotonic()
+        load = self.load
+        place = self._waiters.index(newest) + 1
+        kept = self._waiters[:place]
+        for waiter in self._waiters[place:]:
+            if can_end_in_time(load, waiter.need, now, len(kept)):
+                kept.append(waiter)
+            else:
+                waiter.end(has_slot=False)
+        self._waiters = kept
