--- a/medlarhoist/core/balance.py
+++ b/medlarhoist/core/balance.py
@@ -5,10 +5,10 @@
 each answer. What a target says of its health only removes targets (warming,
 draining) and never adds weight.
 
-Targets of one version differ in speed and turn slow when they are new or
-faulty, so calls go where they are predicted to end first. Another failure
-domain's target must be clearly better than an own one, as calls between
-domains cost time and bytes.
+Bytes between failure domains are dear, so a call stays in its own while a
+target there has room and is predicted to end well within the objective.
+Otherwise it goes where it is predicted to end first, and large answers stay
+at home longer than small ones.
 """
 
 from collections.abc import Callable, Mapping, Sequence
@@ -29,10 +29,16 @@
 REFUSAL_PAUSE_S: Final = 0.05
 # A few answers' time at a usual rate; after it the load is a guess.
 REPORT_LIFE_S: Final = 1.0
-FAR_FACTOR: Final = 1.5
-# A target without a free slot is used where no usable one has any.
-FULL_FACTOR: Final = 10
-FAR_EXTRA_S: Final = 0.005
+# Latency varies: the mean must leave the tail half of the objective.
+PROMPT_SHARE: Final = 0.5
+FAR_FACTOR: Final = 1.2
+FAR_EXTRA_S: Final = 0.003
+# A call may wait a second for each megabyte that stays in its domain.
+FAR_S_PER_BYTE: Final = 0.000001
+# A predicted wait is the least that a full target costs.
+FULL_SHARE_OF_BUSY: Final = 0.5
+# Of targets that are equally quick the one with more room is taken.
+USED_FACTOR: Final = 0.5
 # Nodes that hold the same reports must not all pick the same target.
 JITTER: Final = 0.1
 UNREACHABLE_PAUSE_S: Final = 1.0
@@ -114,13 +120,18 @@
     def present_load(self, slots: int, now: float) -> Load:
         """Return its load as far as it is known here.
 
+        A target that was never tried counts as quick until the first call is
+        on its way, so that each gets one.
+
         Args:
             slots: slots that it announces.
             now: present time, seconds.
         """
         told = self.load
         if told is None or now - self.load_at > REPORT_LIFE_S:
-            return Load(slots, self.outstanding, 0, self.latency_s)
+            is_new = not (self.answers or self.outstanding or self.failures)
+            busy_s = 0 if is_new else self.latency_s
+            return Load(slots, self.outstanding, 0, busy_s)
         return replace(told, used=told.used + self.sent_since)
 
     def succeed(self, latency_s: float) -> None:
@@ -175,50 +186,59 @@
     return share.old
 
 
+class Wish(Struct, frozen=True):
+    """What an attempt asks of a target.
+
+    Args:
+        now: present time, seconds.
+        left_s: time until an answer loses worth, seconds; may be negative.
+        answer_bytes: usual size of the answers of its route.
+    """
+
+    now: float
+    left_s: float = inf
+    answer_bytes: float = 0
+
+
 def pick_target(
     targets: Sequence[Target],
     views: Views,
     place: Place,
-    now: float,
+    wish: Wish,
     draw: Random,
 ) -> Target | None:
     """Return the target for one attempt, or None where none is ready.
 
-    Targets of the own failure domain come first; others are used where they
-    are clearly better, and where no own one is ready and has room.
-
     Args:
         targets: the known targets that this call has not tried yet.
         views: what this node has seen of them, by address.
         place: where this node is.
-        now: present time, seconds.
+        wish: what the attempt asks for.
         draw: source of randomness.
     """
     ready = [target for target in targets if target.phase is TargetPhase.READY]
     own = [target for target in ready if target.domain == place.domain]
     far = [target for target in ready if target.domain != place.domain]
-    usable = [
-        *_without_ejected(own, views, now),
-        *_without_ejected(far, views, now),
+    own = _without_ejected(own, views, wish.now)
+    prompt = [
+        target
+        for target in own
+        if _is_prompt(target, views[target.address], wish)
     ]
+    usable = prompt or [*own, *_without_ejected(far, views, wish.now)]
     reachable = [
-        target for target in usable if views[target.address].full_until <= now
+        target
+        for target in usable
+        if views[target.address].full_until <= wish.now
     ]
-    best: Target | None = None
-    lowest = inf
-    for target in reachable or usable:
-        cost = cost_seconds(target, views[target.address], place, now)
-        cost *= draw.uniform(1, 1 + JITTER)
-        if cost < lowest:
-            best, lowest = target, cost
-    return best
+    return _pick_cheapest(reachable or usable, views, place, wish, draw)
 
 
 def cost_seconds(
     target: Target,
     view: TargetView,
     place: Place,
-    now: float,
+    wish: Wish,
 ) -> float:
     """Return the expected time of a call, weighted; lower is better.
 
@@ -226,17 +246,51 @@
         target: where it would go.
         view: what this node has seen of it.
         place: where this node is.
-        now: present time, seconds.
+        wish: what the attempt asks for.
     """
-    load = view.present_load(target.slots, now)
+    load = view.present_load(target.slots, wish.now)
     cost = load.busy_s
-    if load.used >= load.slots or load.waiting:
-        cost += wait_seconds(load, load.waiting) if load.slots else inf
-        cost *= FULL_FACTOR
+    if load.slots:
+        cost *= 1 + USED_FACTOR * load.used / load.slots
+    if is_full(load):
+        wait_s = wait_seconds(load, load.waiting) if load.slots else inf
+        cost += wait_s + FULL_SHARE_OF_BUSY * load.busy_s
     cost *= 1 + FAILURE_WEIGHT * view.failure_rate
-    if target.domain != place.domain:
-        cost = cost * FAR_FACTOR + FAR_EXTRA_S
-    return cost
+    if target.domain == place.domain:
+        return cost
+    bytes_s = FAR_S_PER_BYTE * wish.answer_bytes
+    return cost * FAR_FACTOR + FAR_EXTRA_S + bytes_s
+
+
+def is_full(load: Load) -> bool:
+    """Say whether a call would have to wait."""
+    return load.used >= load.slots or load.waiting > 0
+
+
+def _is_prompt(target: Target, view: TargetView, wish: Wish) -> bool:
+    """Say whether a target of the own domain serves a call well."""
+    if view.full_until > wish.now:
+        return False
+    load = view.present_load(target.slots, wish.now)
+    expected_s = load.busy_s * (1 + FAILURE_WEIGHT * view.failure_rate)
+    return not is_full(load) and expected_s <= PROMPT_SHARE * wish.left_s
+
+
+def _pick_cheapest(
+    group: Sequence[Target],
+    views: Views,
+    place: Place,
+    wish: Wish,
+    draw: Random,
+) -> Target | None:
+    best: Target | None = None
+    lowest = inf
+    for target in group:
+        cost = cost_seconds(target, views[target.address], place, wish)
+        cost *= draw.uniform(1, 1 + JITTER)
+        if best is None or cost < lowest:
+            best, lowest = target, cost
+    return best
 
 
 def _without_ejected(
--- a/medlarhoist/core/balance_test.py
+++ b/medlarhoist/core/balance_test.py
@@ -5,7 +5,14 @@
 
 import pytest
 
-from medlarhoist.core.balance import Place, TargetView, pick_label, pick_target
+from medlarhoist.core.balance import (
+    Place,
+    TargetView,
+    Wish,
+    pick_label,
+    pick_target,
+)
+from medlarhoist.core.limit import Load
 from medlarhoist.core.snapshot import Share
 from medlarhoist.core.subset import choose_subset
 from medlarhoist.core.target import Target, TargetPhase
@@ -38,7 +45,7 @@
         draw = Random(1)
         found = Counter()
         for _ in range(picks):
-            target = pick_target(targets, known, place, NOW, draw)
+            target = pick_target(targets, known, place, Wish(NOW), draw)
             found[target and target.node] += 1
         return found
 
@@ -66,6 +73,31 @@
     assert set(pick(targets, {1: _view(**full)})) == {'n2'}
 
 
+def test_a_slow_own_target_loses_to_another_domain():
+    targets = [_target(1), _target(2, 'b')]
+    known = {target.address: TargetView() for target in targets}
+    known['127.0.0.1:1'].latency_s = 0.6
+    draw = Random(1)
+    wish = Wish(NOW, left_s=0.5)
+    assert pick_target(targets, known, HERE, wish, draw).node == 'n2'
+    wish = Wish(NOW, left_s=2.0)
+    assert pick_target(targets, known, HERE, wish, draw).node == 'n1'
+
+
+def test_large_answers_stay_in_their_domain_while_the_queue_is_short():
+    targets = [_target(1), _target(2, 'b')]
+    known = {target.address: TargetView() for target in targets}
+    draw = Random(1)
+    own = known['127.0.0.1:1']
+    own.report(Load(20, 20, 4, 0.1), NOW)
+    large = Wish(NOW, left_s=0.4, answer_bytes=280_000)
+    assert pick_target(targets, known, HERE, large, draw).node == 'n1'
+    small = Wish(NOW, left_s=0.4, answer_bytes=400)
+    assert pick_target(targets, known, HERE, small, draw).node == 'n2'
+    own.report(Load(20, 20, 80, 0.1), NOW)
+    assert pick_target(targets, known, HERE, large, draw).node == 'n2'
+
+
 @pytest.mark.parametrize(
     'phase',
     [TargetPhase.WARMING, TargetPhase.DRAINING],
--- a/medlarhoist/node/proxy/choice.py
+++ b/medlarhoist/node/proxy/choice.py
@@ -11,6 +11,7 @@
 from medlarhoist.core.balance import (
     Place,
     TargetView,
+    Wish,
     pick_label,
     pick_target,
 )
@@ -95,6 +96,7 @@
         service: str,
         label: str,
         tried: set[str],
+        wish: Wish,
     ) -> Target | None:
         """Return a target that the call has not tried, or None."""
         targets: tuple[Target, ...] | list[Target]
@@ -107,7 +109,7 @@
             targets,
             self.views,
             self._place,
-            self._clock(),
+            wish,
             self._draw,
         )
 
--- a/medlarhoist/node/proxy/entry.py
+++ b/medlarhoist/node/proxy/entry.py
@@ -12,6 +12,7 @@
 
 from msgspec import Struct, structs
 
+from medlarhoist.core.balance import Wish
 from medlarhoist.core.budget import RetryBudget, earn, spend
 from medlarhoist.core.compile import Compiled
 from medlarhoist.core.dialect import Dialect
@@ -34,6 +35,9 @@
 
 # Nodes of targets that one call is offered to.
 ASKED_LIMIT: Final = 4
+SIZE_SMOOTHING: Final = 0.05
+# Routes whose usual answer is remembered; far more than a mesh routes to one.
+SIZES_KEPT: Final = 20_000
 _MS_PER_SECOND: Final = 1000
 _NO_CONFIGURATION: Final = Failure(
     Verdict.DID_NOT_RUN,
@@ -93,6 +97,7 @@
         '_count',
         '_parts',
         '_prefix',
+        '_sizes',
         '_splitter',
         'is_draining',
         'retries',
@@ -101,6 +106,7 @@
     def __init__(self, parts: Parts) -> None:
         """Serve calls with the given parts."""
         self._parts = parts
+        self._sizes: dict[str, float] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._count = 0
         self._splitter = Splitter(Random())  # noqa: S311  spreads load only
@@ -190,13 +196,16 @@
         return target
 
     def _pick_target(self, call: Call) -> Target | None:
+        now = time.monotonic()
         own = self._parts.choice.views.get(self._parts.peer_address)
         if own is not None:
-            own.report(self._parts.local.load, time.monotonic())
+            own.report(self._parts.local.load, now)
+        size = self._sizes.get(call.route.name, 0)
         return self._parts.choice.pick_target(
             call.service,
             call.label,
             call.tried,
+            Wish(now, call.due - now, size),
         )
 
     def _fall_back(self, call: Call, failure: Failure) -> bool:
@@ -273,6 +282,13 @@
             order,
         )
 
+    def _note_size(self, route: str, size: int) -> None:
+        """Follow the usual size of the answers of a route, in bytes."""
+        if len(self._sizes) > SIZES_KEPT:
+            self._sizes.clear()
+        usual = self._sizes.get(route, float(size))
+        self._sizes[route] = usual + SIZE_SMOOTHING * (size - usual)
+
     async def _relay(
         self,
         exchange: Exchange,
@@ -284,6 +300,7 @@
         finally:
             answer.close()
         self._parts.observer.note_answer(call, answer, whole=is_whole)
+        self._note_size(call.route.name, answer.head.framing.length)
         outcome = 'answered' if is_whole else 'cut'
         log_end(call, answer.head.status, outcome, time.monotonic())
 
