--- a/medlarhoist/core/balance.py
+++ b/medlarhoist/core/balance.py
@@ -45,6 +45,7 @@
 EJECTABLE_SHARE: Final = 0.5
 FAILURE_WEIGHT: Final = 20
 NEVER_S: Final = -1.0
+UNTRIED_S: Final = 0.001
 _FIRST_LATENCY_S: Final = START_ESTIMATE_S
 
 
@@ -130,7 +131,7 @@
         told = self.load
         if told is None or now - self.load_at > REPORT_LIFE_S:
             is_new = not (self.answers or self.outstanding or self.failures)
-            busy_s = 0 if is_new else self.latency_s
+            busy_s = UNTRIED_S if is_new else self.latency_s
             return Load(slots, self.outstanding, 0, busy_s)
         return replace(told, used=told.used + self.sent_since)
 
