--- a/medlarhoist/core/balance.py
+++ b/medlarhoist/core/balance.py
@@ -12,7 +12,7 @@
 """
 
 from collections.abc import Callable, Mapping, Sequence
-from math import ceil, inf
+from math import ceil, exp, inf
 from random import Random
 from typing import Final
 
@@ -39,6 +39,8 @@
 FULL_SHARE_OF_BUSY: Final = 0.5
 # Of targets that are equally quick the one with more room is taken.
 USED_FACTOR: Final = 0.5
+# A target that is four times as slow is tried again after four seconds.
+OBLIVION_S: Final = 3.0
 # Nodes that hold the same reports must not all pick the same target.
 JITTER: Final = 0.1
 UNREACHABLE_PAUSE_S: Final = 1.0
@@ -135,6 +137,19 @@
             return Load(slots, self.outstanding, 0, busy_s)
         return replace(told, used=told.used + self.sent_since)
 
+    def trust(self, now: float) -> float:
+        """Return how far what was seen of it still counts, 0 to 1.
+
+        What is known of a target that gets no calls grows old, so a slow one
+        is tried again after a while, the slower the later.
+
+        Args:
+            now: present time, seconds.
+        """
+        if self.outstanding or self.used_at < 0:
+            return 1
+        return exp(-max(0, now - self.used_at) / OBLIVION_S)
+
     def succeed(self, latency_s: float) -> None:
         """Take in a whole answer below status 500."""
         self.failures = 0
@@ -257,6 +272,7 @@
         wait_s = wait_seconds(load, load.waiting) if load.slots else inf
         cost += wait_s + FULL_SHARE_OF_BUSY * load.busy_s
     cost *= 1 + FAILURE_WEIGHT * view.failure_rate
+    cost *= view.trust(wish.now)
     if target.domain == place.domain:
         return cost
     bytes_s = FAR_S_PER_BYTE * wish.answer_bytes
--- a/medlarhoist/core/balance_test.py
+++ b/medlarhoist/core/balance_test.py
@@ -133,6 +133,15 @@
     assert set(pick(targets, views)) == {'n1'}
 
 
+def test_a_slow_target_is_tried_again_after_a_while(pick):
+    targets = [_target(1), _target(2)]
+    slow = _view(latency_s=0.4, used_at=NOW - 1)
+    used = _view(latency_s=0.1, used_at=NOW)
+    assert set(pick(targets, {1: slow, 2: used})) == {'n2'}
+    slow.used_at = NOW - 10
+    assert set(pick(targets, {1: slow, 2: used})) == {'n1'}
+
+
 def test_failures_in_a_row_eject():
     view = TargetView()
     for _ in range(4):
--- a/medlarhoist/node/proxy/overload_test.py
+++ b/medlarhoist/node/proxy/overload_test.py
@@ -101,14 +101,26 @@
 
 
 def test_own_targets_come_first_and_spill_leaves_room(run_mesh):
-    """Domain a has lost its targets; its calls spill to domain b."""
+    """Domain a has lost its targets; its calls spill to domain b.
+
+    Those that spill are worth something for 200 ms, so that they are more
+    than domain b can serve; the own ones may wait.
+    """
 
     async def scenario(mesh):
         await mesh.add('a', known=False)
         await mesh.add('b', slots=10, work_ms=50)
-        load = asyncio.create_task(run_load(_plan(mesh, (0,), prefix='far')))
+        spilled = _plan(mesh, (0,), prefix='far', paths=('/short',))
+        load = asyncio.create_task(run_load(spilled))
         await asyncio.sleep(0.3)
-        plan = _plan(mesh, (1,), rate=40.0, seconds=0.5, prefix='own')
+        plan = _plan(
+            mesh,
+            (1,),
+            rate=40.0,
+            seconds=0.5,
+            prefix='own',
+            paths=('/sights',),
+        )
         own = await run_load(plan)
         return await load, own, mesh.records[1]
 
