Force a lost set of keepers, read the floor from the leader, retry sooner

Nodes attached up to 3 s late, since retries waited up to 5 s also in domains of four nodes.

Now the leader answers for the floor, a silent majority of keepers is replaced by force where as many other nodes are there, one silent keeper after 2.5 s, and the longest delay follows the size of the domain.

--- a/medlarhoist/core/balance.py
+++ b/medlarhoist/core/balance.py
@@ -29,8 +29,8 @@
 REFUSAL_PAUSE_S: Final = 0.05
 # A few answers' time at a usual rate; after it the load is a guess.
 REPORT_LIFE_S: Final = 1.0
-# Latency varies: the mean must leave the tail half of the objective.
-PROMPT_SHARE: Final = 0.5
+# Latency varies: the mean must leave the tail a part of the objective.
+PROMPT_SHARE: Final = 0.7
 FAR_FACTOR: Final = 1.2
 FAR_EXTRA_S: Final = 0.003
 # A call may wait a second for each megabyte that stays in its domain.
@@ -209,11 +209,15 @@
         now: present time, seconds.
         left_s: time until an answer loses worth, seconds; may be negative.
         answer_bytes: usual size of the answers of its route.
+        usual_s: usual time of a call of its route, seconds; zero where it is
+            not known. Routes of one service differ in work, so what a target
+            usually takes is only compared with other targets.
     """
 
     now: float
     left_s: float = inf
     answer_bytes: float = 0
+    usual_s: float = 0
 
 
 def pick_target(
@@ -236,10 +240,11 @@
     own = [target for target in ready if target.domain == place.domain]
     far = [target for target in ready if target.domain != place.domain]
     own = _without_ejected(own, views, wish.now)
+    mean_s = _mean_busy(ready, views, wish.now)
     prompt = [
         target
         for target in own
-        if _is_prompt(target, views[target.address], wish)
+        if _is_prompt(target, views[target.address], wish, mean_s)
     ]
     usable = prompt or [*own, *_without_ejected(far, views, wish.now)]
     reachable = [
@@ -284,12 +289,36 @@
     return load.used >= load.slots or load.waiting > 0
 
 
-def _is_prompt(target: Target, view: TargetView, wish: Wish) -> bool:
-    """Say whether a target of the own domain serves a call well."""
+def _mean_busy(targets: Sequence[Target], views: Views, now: float) -> float:
+    """Return what the targets usually take, their mean, seconds."""
+    times = [
+        views[target.address].present_load(target.slots, now).busy_s
+        for target in targets
+    ]
+    return sum(times) / max(1, len(times))
+
+
+def _is_prompt(
+    target: Target,
+    view: TargetView,
+    wish: Wish,
+    mean_s: float,
+) -> bool:
+    """Say whether a target of the own domain serves a call well.
+
+    Args:
+        target: the target.
+        view: what this node has seen of it.
+        wish: what the attempt asks for.
+        mean_s: what targets of the version usually take, seconds.
+    """
     if view.full_until > wish.now:
         return False
     load = view.present_load(target.slots, wish.now)
-    expected_s = load.busy_s * (1 + FAILURE_WEIGHT * view.failure_rate)
+    expected_s = load.busy_s
+    if wish.usual_s and mean_s:
+        expected_s *= wish.usual_s / mean_s
+    expected_s *= 1 + FAILURE_WEIGHT * view.failure_rate
     return not is_full(load) and expected_s <= PROMPT_SHARE * wish.left_s
 
 
--- a/medlarhoist/core/budget.py
+++ b/medlarhoist/core/budget.py
@@ -8,9 +8,12 @@
 
 from msgspec import Struct
 
-RETRY_SHARE: Final = 0.2
-LARGEST: Final = 20.0
-START: Final = 5.0
+# The mesh may repeat a fifth of the calls. Calls that a repeated request
+# makes are repeats too, so the first repeats get half of it.
+RETRY_SHARE: Final = 0.1
+# What every node has saved up is spent at once when a service turns bad.
+LARGEST: Final = 3.0
+START: Final = 2.0
 
 
 class RetryBudget(Struct, frozen=True):
@@ -20,7 +23,7 @@
         tokens: retries saved up, of at most LARGEST.
     """
 
-    tokens: float = START
+    tokens: float
 
 
 def earn(budget: RetryBudget) -> RetryBudget:
@@ -33,3 +36,26 @@
     if budget.tokens < 1:
         return None
     return RetryBudget(budget.tokens - 1)
+
+
+class RetryBudgets:
+    """The retry budgets of one node, by service."""
+
+    __slots__ = ('_budgets',)
+
+    def __init__(self) -> None:
+        """Start with a full start for each service."""
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def earn(self, service: str) -> None:
+        """Note a new call of a service."""
+        known = self._budgets.get(service) or RetryBudget(START)
+        self._budgets[service] = earn(known)
+
+    def spend(self, service: str) -> bool:
+        """Take a retry of a service; say whether there was one."""
+        left = spend(self._budgets.get(service) or RetryBudget(START))
+        if left is None:
+            return False
+        self._budgets[service] = left
+        return True
--- a/medlarhoist/core/keeper_plan.py
+++ b/medlarhoist/core/keeper_plan.py
@@ -2,6 +2,13 @@
 
 A set changes only after the present one is ready: its live members have
 recovered in its epoch and a majority of the set before knows the epoch.
+
+Where a majority of a set stays silent while at least as many other nodes of
+the domain are there, the silent ones count as lost and a new set is forced,
+since their domain would get no further version. A forced set does not wait
+for the one before. The price is one case in which a node can be told of an
+older version: it is cut off together with that silent majority, and is then
+restarted.
 """
 
 from collections.abc import Mapping
@@ -12,7 +19,10 @@
 from medlarhoist.core.command import KeeperSet
 from medlarhoist.core.floor import majority
 
-GONE_SECONDS: Final = 10.0
+# Longer than a restart of the process takes.
+GONE_SECONDS: Final = 2.5
+# Longer than most cuts of single machines last.
+LOST_SECONDS: Final = 4.0
 
 
 class KeeperView(Struct, frozen=True, kw_only=True):
@@ -40,7 +50,8 @@
         domain: the failure domain.
         current: its present set.
         wanted: keepers that it shall have.
-        candidates: control addresses of live nodes by name.
+        candidates: control addresses of live nodes by name, those heard of
+            last first.
         views: what the leader sees of the present keepers.
     """
     if current is None:
@@ -49,7 +60,7 @@
     if _moved(current, candidates):
         return _follow(current, candidates, ready=ready)
     if not ready:
-        return None
+        return _force(current, wanted, candidates, views)
     members = _grow(current.members, wanted, candidates)
     if members == current.members:
         members = _replace_one(current.members, candidates, views)
@@ -104,6 +115,41 @@
     )
 
 
+def _force(
+    current: KeeperSet,
+    wanted: int,
+    candidates: Mapping[str, str],
+    views: Mapping[str, KeeperView],
+) -> KeeperSet | None:
+    """Return a set without the lost members, where they are a majority."""
+    lost = {
+        name
+        for name in current.members
+        if name in views and views[name].silent_seconds > LOST_SECONDS
+    }
+    if len(lost) < majority(len(current.members)):
+        return None
+    found = {
+        name: address
+        for name, address in candidates.items()
+        if name not in lost
+    }
+    if len(found) < len(lost):
+        return None
+    alive = {
+        name: address
+        for name, address in current.members.items()
+        if name not in lost
+    }
+    return KeeperSet(
+        domain=current.domain,
+        epoch=current.epoch + 1,
+        members=_grow(alive, wanted, found),
+        previous=current.members,
+        forced=True,
+    )
+
+
 def _is_ready(
     current: KeeperSet,
     views: Mapping[str, KeeperView],
@@ -121,7 +167,7 @@
     wanted: int,
     candidates: Mapping[str, str],
 ) -> dict[str, str]:
-    spare = sorted(set(candidates) - set(members))
+    spare = [name for name in candidates if name not in members]
     reach = min(wanted, len(members) + len(spare))
     odd = reach if reach % 2 else reach - 1
     added = spare[: max(0, odd - len(members))]
@@ -135,7 +181,7 @@
     candidates: Mapping[str, str],
     views: Mapping[str, KeeperView],
 ) -> dict[str, str]:
-    spare = sorted(set(candidates) - set(members))
+    spare = [name for name in candidates if name not in members]
     gone = [
         name
         for name in sorted(members)
--- a/medlarhoist/node/distribution.py
+++ b/medlarhoist/node/distribution.py
@@ -11,7 +11,7 @@
 from loguru import logger
 from msgspec import Struct
 
-from medlarhoist.core.backoff import delay_seconds
+from medlarhoist.core.backoff import delay_seconds, longest_delay
 from medlarhoist.core.membership import Knowledge, live_members
 from medlarhoist.core.ports import EvidenceSource
 from medlarhoist.core.settings import NodeSettings
@@ -207,10 +207,17 @@
         attempt = 0
         while True:
             self._keeper.adopt(self.directory.own)
-            floor = await ask_floor(self._cfg, self._channels, self._keeper)
+            floor = await ask_floor(
+                self._cfg,
+                self._channels,
+                self._keeper,
+                self.directory.leader,
+            )
             if floor is not None:
                 break
-            await asyncio.sleep(delay_seconds(attempt, self._random))
+            longest = longest_delay(len(self._control_addresses()) + 1)
+            wait = delay_seconds(attempt, self._random, longest)
+            await asyncio.sleep(wait)
             attempt += 1
         logger.info('configuration: the floor is version {}', floor)
         self._configuration.set_floor(floor)
--- a/medlarhoist/node/floor_client.py
+++ b/medlarhoist/node/floor_client.py
@@ -1,4 +1,9 @@
-"""Floor client: reads the floor of a starting node from its keepers."""
+"""Floor client: reads the floor of a starting node.
+
+A majority of the domain's keepers knows it, also while the domain is cut off.
+The leader of the sources knows it too: no node has served a version that was
+not accepted, and its answer comes after a round to a majority of the sources.
+"""
 
 import asyncio
 
@@ -15,20 +20,29 @@
     cfg: NodeSettings,
     channels: Channels,
     keeper: Keeper,
+    leader: str,
 ) -> int | None:
-    """Ask every keeper of the domain once and return the floor.
+    """Ask the leader, or every keeper of the domain, and return the floor.
 
     Args:
         cfg: settings of this node.
         channels: its connections.
         keeper: its own part as a keeper; learns newer sets.
+        leader: control address of the leader, empty where it is unknown.
 
     Returns:
-        The floor, or None where no majority of recovered keepers answered.
+        The floor, or None where neither the leader nor a majority of
+        recovered keepers answered.
     """
     keepers = keeper.state.keepers
     if keepers is None:
         return None
+    if leader:
+        query = FloorQuery(node=cfg.name, domain=cfg.domain)
+        told = await channels.ask(leader, FLOOR, query)
+        if told is not None:
+            keeper.adopt(told.keepers)
+            return int(told.held)
     answers = await _ask_all(cfg, channels, keepers)
     if cfg.name in keepers.members:
         answers.append(keeper.answer())
--- a/medlarhoist/node/proxy/call.py
+++ b/medlarhoist/node/proxy/call.py
@@ -8,6 +8,7 @@
     find_header,
     forward_headers,
 )
+from medlarhoist.core.limit import Need
 from medlarhoist.core.resource import Route
 from medlarhoist.core.target import Target
 from medlarhoist.core.verdict import Verdict
@@ -30,6 +31,7 @@
         tried: addresses of the targets that were tried.
         last: the target of the present attempt.
         arrivals: targets that the request has reached.
+        attempted: when the present attempt began, on the same clock.
         may_have_run: whether any attempt may have run.
         version: configuration version that it is routed by.
         caller_id: the caller's id of the request, empty where it has none.
@@ -37,6 +39,7 @@
 
     __slots__ = (
         'arrivals',
+        'attempted',
         'caller_id',
         'deadline',
         'due',
@@ -79,6 +82,7 @@
         self.source = Source(exchange.body)
         self.tried: set[str] = set()
         self.arrivals = 0
+        self.attempted = self.started
         self.may_have_run = False
         self.last: Target | None = None
         headers = drop_reserved(dialect, forward_headers(head.headers))
@@ -94,6 +98,19 @@
             is_idempotent=route.idempotent,
         )
 
+    def describe_need(self, is_spilled: bool) -> Need:
+        """Return how urgent it is to a target.
+
+        Args:
+            is_spilled: whether the target is in another failure domain.
+        """
+        return Need(
+            priority=self.route.priority,
+            deadline=self.deadline,
+            due=self.due,
+            is_spilled=is_spilled,
+        )
+
     def count_arrival(self, failure: Failure) -> None:
         """Count an attempt that reached a target, or may have."""
         may_have_run = failure.verdict is not Verdict.DID_NOT_RUN
--- a/medlarhoist/node/proxy/entry.py
+++ b/medlarhoist/node/proxy/entry.py
@@ -13,13 +13,13 @@
 from msgspec import Struct, structs
 
 from medlarhoist.core.balance import Wish
-from medlarhoist.core.budget import RetryBudget, earn, spend
+from medlarhoist.core.budget import RetryBudgets
 from medlarhoist.core.compile import Compiled
 from medlarhoist.core.dialect import Dialect
 from medlarhoist.core.hop import find_header
-from medlarhoist.core.limit import Need
 from medlarhoist.core.split import Splitter
 from medlarhoist.core.target import Target
+from medlarhoist.core.usual import UsualCalls
 from medlarhoist.core.verdict import Verdict, may_retry
 from medlarhoist.node.proxy.attempt import Failure
 from medlarhoist.node.proxy.body import BodyTooLarge, ShortBody
@@ -35,9 +35,6 @@
 
 # Nodes of targets that one call is offered to.
 ASKED_LIMIT: Final = 4
-SIZE_SMOOTHING: Final = 0.05
-# Routes whose usual answer is remembered; far more than a mesh routes to one.
-SIZES_KEPT: Final = 20_000
 _MS_PER_SECOND: Final = 1000
 _NO_CONFIGURATION: Final = Failure(
     Verdict.DID_NOT_RUN,
@@ -97,8 +94,8 @@
         '_count',
         '_parts',
         '_prefix',
-        '_sizes',
         '_splitter',
+        '_usual',
         'is_draining',
         'retries',
     )
@@ -106,8 +103,8 @@
     def __init__(self, parts: Parts) -> None:
         """Serve calls with the given parts."""
         self._parts = parts
-        self._sizes: dict[str, float] = {}
-        self._budgets: dict[str, RetryBudget] = {}
+        self._usual = UsualCalls()
+        self._budgets = RetryBudgets()
         self._count = 0
         self._splitter = Splitter(Random())  # noqa: S311  spreads load only
         started_ms = int(time.time() * _MS_PER_SECOND)
@@ -144,8 +141,7 @@
         await self._serve_call(exchange, call)
 
     async def _serve_call(self, exchange: Exchange, call: Call) -> None:
-        budget = self._budgets.get(call.service, RetryBudget())
-        self._budgets[call.service] = earn(budget)
+        self._budgets.earn(call.service)
         try:
             async with asyncio.timeout_at(call.deadline):
                 failure = await self._try_targets(exchange, call)
@@ -200,12 +196,12 @@
         own = self._parts.choice.views.get(self._parts.peer_address)
         if own is not None:
             own.report(self._parts.local.load, now)
-        size = self._sizes.get(call.route.name, 0)
+        usual = self._usual.get(call.route.name)
         return self._parts.choice.pick_target(
             call.service,
             call.label,
             call.tried,
-            Wish(now, call.due - now, size),
+            Wish(now, call.due - now, usual.answer_bytes, usual.seconds),
         )
 
     def _fall_back(self, call: Call, failure: Failure) -> bool:
@@ -226,19 +222,11 @@
         if call.arrivals >= call.route.attempts:
             return False
         loads_target = call.may_have_run or failure.has_arrived
-        if loads_target and not self._spend(call):
+        if loads_target and not self._budgets.spend(call.service):
             return False
         self.retries += 1
         return True
 
-    def _spend(self, call: Call) -> bool:
-        """Take a retry from the budget; what reached nobody costs nothing."""
-        budget = spend(self._budgets[call.service])
-        if budget is None:
-            return False
-        self._budgets[call.service] = budget
-        return True
-
     async def _attempt(
         self,
         exchange: Exchange,
@@ -249,7 +237,8 @@
         call.tried.add(target.address)
         call.last = target
         view = self._parts.choice.views[target.address]
-        view.send(time.monotonic())
+        call.attempted = time.monotonic()
+        view.send(call.attempted)
         try:
             outcome = await self._send(call, target)
             if isinstance(outcome, Failure):
@@ -267,12 +256,7 @@
             request_id=f'{self._prefix}-{self._count}'.encode(),
             service=call.service,
             label=call.label,
-            need=Need(
-                priority=call.route.priority,
-                deadline=call.deadline,
-                due=call.due,
-                is_spilled=target.domain != self._parts.domain,
-            ),
+            need=call.describe_need(target.domain != self._parts.domain),
         )
         if target.address == self._parts.peer_address:
             return await self._parts.local.call(call.request, order)
@@ -282,13 +266,6 @@
             order,
         )
 
-    def _note_size(self, route: str, size: int) -> None:
-        """Follow the usual size of the answers of a route, in bytes."""
-        if len(self._sizes) > SIZES_KEPT:
-            self._sizes.clear()
-        usual = self._sizes.get(route, float(size))
-        self._sizes[route] = usual + SIZE_SMOOTHING * (size - usual)
-
     async def _relay(
         self,
         exchange: Exchange,
@@ -300,7 +277,10 @@
         finally:
             answer.close()
         self._parts.observer.note_answer(call, answer, whole=is_whole)
-        self._note_size(call.route.name, answer.head.framing.length)
+        if is_whole:
+            took_s = answer.ended_at - call.attempted
+            size = answer.head.framing.length
+            self._usual.note(call.route.name, took_s, size)
         outcome = 'answered' if is_whole else 'cut'
         log_end(call, answer.head.status, outcome, time.monotonic())
 
--- a/medlarhoist/node/uplink.py
+++ b/medlarhoist/node/uplink.py
@@ -13,7 +13,7 @@
 from loguru import logger
 from msgspec import Struct
 
-from medlarhoist.core.backoff import delay_seconds
+from medlarhoist.core.backoff import delay_seconds, longest_delay
 from medlarhoist.core.settings import NodeSettings
 from medlarhoist.core.tree import order_parents
 from medlarhoist.node.join import Directory
@@ -115,11 +115,14 @@
                 await self._attach_safely(address)
             if loop.time() - began > STEADY_SECONDS:
                 self.attempts = 0
-            wait = delay_seconds(self.attempts, self._random)
+            longest = longest_delay(len(self._addresses()) + 1)
+            wait = delay_seconds(self.attempts, self._random, longest)
             self.attempts += 1
-            logger.info(
-                'tree: parent {} is lost; retries in {:.1f} s', address, wait
-            )
+            logger.bind(
+                parent=address,
+                attempts=self.attempts,
+                keepers=self._directory.own is not None,
+            ).info('tree: no parent')
             await asyncio.sleep(wait)
 
     def _choose_parent(self) -> str:
--- a/medlarhoist/source/keepers.py
+++ b/medlarhoist/source/keepers.py
@@ -96,7 +96,8 @@
         for name, known in list(nodes.items()):
             if known.seen < oldest:
                 nodes.pop(name)
-        return {node: nodes[node].address for node in nodes}
+        newest = sorted(nodes, key=lambda node: (-nodes[node].seen, node))
+        return {node: nodes[node].address for node in newest}
 
     def _may_found(self, domain: str) -> bool:
         now = self._clock()
