--- a/medlarhoist/core/keeper_plan.py
+++ b/medlarhoist/core/keeper_plan.py
@@ -12,6 +12,7 @@
 """
 
 from collections.abc import Mapping
+from itertools import islice
 from typing import Final
 
 from msgspec import Struct
@@ -144,7 +145,7 @@
     return KeeperSet(
         domain=current.domain,
         epoch=current.epoch + 1,
-        members=_grow(alive, wanted, found),
+        members=_grow(alive, wanted, dict(islice(found.items(), wanted))),
         previous=current.members,
         forced=True,
     )
@@ -167,7 +168,7 @@
     wanted: int,
     candidates: Mapping[str, str],
 ) -> dict[str, str]:
-    spare = [name for name in candidates if name not in members]
+    spare = sorted(set(candidates) - set(members))
     reach = min(wanted, len(members) + len(spare))
     odd = reach if reach % 2 else reach - 1
     added = spare[: max(0, odd - len(members))]
@@ -181,7 +182,7 @@
     candidates: Mapping[str, str],
     views: Mapping[str, KeeperView],
 ) -> dict[str, str]:
-    spare = [name for name in candidates if name not in members]
+    spare = sorted(set(candidates) - set(members))
     gone = [
         name
         for name in sorted(members)
--- a/medlarhoist/node/floor_client.py
+++ b/medlarhoist/node/floor_client.py
@@ -5,12 +5,14 @@
 not accepted, and its answer comes after a round to a majority of the sources.
 """
 
-import asyncio
+from collections.abc import Coroutine
+from typing import Any
 
 from medlarhoist.core.command import KeeperSet
 from medlarhoist.core.floor import Answer, newest_set, read_floor
 from medlarhoist.core.settings import NodeSettings
 from medlarhoist.node.keeper import Keeper
+from medlarhoist.utils.tasks import ask_until
 from medlarhoist.wire.channels import Channels
 from medlarhoist.wire.message import FloorQuery
 from medlarhoist.wire.procedures import FLOOR
@@ -43,24 +45,28 @@
         if told is not None:
             keeper.adopt(told.keepers)
             return int(told.held)
-    answers = await _ask_all(cfg, channels, keepers)
+    answers: list[Answer] = []
     if cfg.name in keepers.members:
         answers.append(keeper.answer())
+
+    def take(answer: Answer) -> bool:  # noqa: WPS430  collects
+        answers.append(answer)
+        return read_floor(keepers, answers) is not None
+
+    await ask_until(_ask_all(cfg, channels, keepers), take)
     newest = newest_set(keepers, answers)
     keeper.adopt(newest)
     return read_floor(keepers, answers)
 
 
-async def _ask_all(
+def _ask_all(
     cfg: NodeSettings,
     channels: Channels,
     keepers: KeeperSet,
-) -> list[Answer]:
+) -> list[Coroutine[Any, Any, Answer | None]]:
     query = FloorQuery(node=cfg.name, domain=cfg.domain, keepers=keepers)
-    asked = [
+    return [
         channels.ask(address, FLOOR, query)
         for name, address in keepers.members.items()
         if name != cfg.name
     ]
-    answers = await asyncio.gather(*asked)
-    return [answer for answer in answers if answer is not None]
--- a/medlarhoist/node/keeper_loop.py
+++ b/medlarhoist/node/keeper_loop.py
@@ -1,8 +1,8 @@
 """Keeper loop: a keeper asks its peers, recovers and establishes versions."""
 
 import asyncio
-from collections.abc import Callable
-from typing import Final
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
 
 from loguru import logger
 
@@ -17,7 +17,7 @@
 from medlarhoist.core.settings import NodeSettings
 from medlarhoist.node.configuration import Configuration
 from medlarhoist.node.keeper import Keeper
-from medlarhoist.utils.tasks import cancel_all
+from medlarhoist.utils.tasks import ask_until, cancel_all
 from medlarhoist.wire.channels import Channels
 from medlarhoist.wire.message import Fetch, FloorQuery
 from medlarhoist.wire.procedures import FETCH, FLOOR
@@ -92,17 +92,20 @@
             return
 
     async def _consult(self) -> None:
-        answers = await self._ask_peers()
-        for answer in answers:
-            self._keeper.adopt(answer.keepers)
-            self._keeper.state = note_answer(self._keeper.state, answer)
+        """Ask the others; the first that make a majority are enough."""
         if not is_recovered(self._keeper.state):
             await self._recover()
-        for told in answers:
-            self._keeper.learn(told.held, told.node)
+        await ask_until(self._ask_peers(), self._take_answer)
         self._establish()
 
-    async def _ask_peers(self) -> list[Answer]:
+    def _take_answer(self, answer: Answer) -> bool:
+        self._keeper.adopt(answer.keepers)
+        self._keeper.state = note_answer(self._keeper.state, answer)
+        self._keeper.learn(answer.held, answer.node)
+        self._establish()
+        return self._keeper.is_settled()
+
+    def _ask_peers(self) -> list[Coroutine[Any, Any, Answer | None]]:
         keepers = self._keeper.state.keepers
         if keepers is None:
             return []
@@ -115,12 +118,10 @@
             keepers=keepers,
             held=self._keeper.state.held,
         )
-        asking = [
+        return [
             self._channels.ask(address, FLOOR, query)
             for address in asked.values()
         ]
-        answers = await asyncio.gather(*asking)
-        return [answer for answer in answers if answer is not None]
 
     async def _recover(self) -> None:
         leader = self._leader()
--- a/medlarhoist/utils/tasks.py
+++ b/medlarhoist/utils/tasks.py
@@ -1,9 +1,13 @@
 """Tasks: runs coroutines side by side and ends them together."""
 
 import asyncio
-from collections.abc import Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from contextlib import AsyncExitStack
-from typing import Any
+from typing import Any, Final
+
+# The loop itself keeps only weak references to tasks.
+_Task = asyncio.Task[Any]
+_ASKED: Final[set[_Task]] = set()
 
 
 async def cancel_all(tasks: Iterable[asyncio.Task[Any]]) -> None:
@@ -14,6 +18,29 @@
     await asyncio.gather(*kept, return_exceptions=True)
 
 
+async def ask_until(
+    asks: Iterable[Coroutine[Any, Any, Any]],
+    take: Callable[[Any], bool],
+) -> None:
+    """Ask several at once and take answers as they come.
+
+    Those that have not answered when there are enough go on to their own
+    timeout, which shows connections that have gone silent.
+
+    Args:
+        asks: each returns an answer, or None for none.
+        take: takes an answer and says whether there are enough.
+    """
+    tasks = [asyncio.ensure_future(each) for each in asks]
+    _ASKED.update(tasks)
+    for task in tasks:
+        task.add_done_callback(_ASKED.discard)
+    for fut in asyncio.as_completed(tasks):
+        answer = await fut
+        if answer is not None and take(answer):
+            return
+
+
 async def run_until_first(
     *coroutines: Coroutine[Any, Any, Any],
 ) -> BaseException | None:
