--- a/medlarhoist/core/balance.py
+++ b/medlarhoist/core/balance.py
@@ -33,8 +33,8 @@
 PROMPT_SHARE: Final = 0.7
 FAR_FACTOR: Final = 1.2
 FAR_EXTRA_S: Final = 0.003
-# A call may wait a second for each megabyte that stays in its domain.
-FAR_S_PER_BYTE: Final = 0.000001
+# A call may wait two seconds for each megabyte that stays in its domain.
+FAR_S_PER_BYTE: Final = 0.000002
 # A predicted wait is the least that a full target costs.
 FULL_SHARE_OF_BUSY: Final = 0.5
 # Of targets that are equally quick the one with more room is taken.
--- /dev/null
+++ b/medlarhoist/platform/announcement_test.py
@@ -0,0 +1,98 @@
+"""Tests of heartbeats, also those of other writers and of earlier runs."""
+
+import json
+
+import pytest
+from result import Err
+
+from medlarhoist.core.presence import (
+    Presence,
+    hear,
+    is_late,
+    is_leave_late,
+    lose,
+)
+from medlarhoist.core.target import TargetPhase
+from medlarhoist.platform.announcement import read_heartbeat, read_leave
+
+BORN_MS = 1_700_000_000_000
+
+
+def _read(heartbeat, run_id='i-1', **changes):
+    return read_heartbeat(run_id, json.dumps({**heartbeat, **changes}).encode())
+
+
+def test_a_heartbeat_names_the_run_and_where_it_listens(heartbeat):
+    notice = _read(heartbeat).ok_value
+    assert (notice.run_id, notice.address) == ('i-1', '10.1.0.41:8628')
+    assert (notice.service, notice.label, notice.slots) == ('huvo11a', 'v1', 18)
+    assert notice.phase is TargetPhase.READY
+    assert (notice.born_ms, notice.sequence) == (BORN_MS, 4)
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'service': None},
+        {'service': 7},
+        {'service': ''},
+        {'address': 'nowhere'},
+        {'address': '10.1.0.41:'},
+        {'address': '10.1.0.41:99999'},
+        {'slots': '18'},
+        {'slots': 0},
+        {'state': 'asleep'},
+        {'sequence': 'x'},
+        {'sequence': 1.5},
+        {'born': 'today'},
+        {'version': []},
+    ],
+)
+def test_what_another_writer_says_names_no_target(heartbeat, changes):
+    assert isinstance(_read(heartbeat, **changes), Err)
+
+
+def test_bytes_that_cannot_be_read_name_no_target(heartbeat):
+    body = json.dumps(heartbeat).encode()
+    for spoiled in (b'', b'\xff' + body, body[:-1], b'[]', b'{}'):
+        assert isinstance(read_heartbeat('i-1', spoiled), Err)
+
+
+def test_a_late_heartbeat_of_an_earlier_run_is_ignored(heartbeat):
+    old = _read(heartbeat, 'i-1').ok_value
+    new = _read(heartbeat, 'i-2', born=BORN_MS + 5, sequence=1).ok_value
+    presence = hear(Presence(), new, 10.0, 1)
+    assert is_late(presence, old)
+    assert is_late(lose(presence, has_left=False), old)
+    assert not is_late(hear(Presence(), old, 10.0, 1), new)
+
+
+def test_an_instance_may_start_again_under_its_id(heartbeat):
+    old = _read(heartbeat, sequence=90).ok_value
+    new = _read(heartbeat, born=BORN_MS + 5, sequence=1).ok_value
+    presence = hear(Presence(), old, 10.0, 1)
+    assert not is_late(presence, new)
+    assert is_late(hear(presence, new, 11.0, 2), old)
+
+
+def test_an_overtaken_heartbeat_does_not_undo_a_drain(heartbeat):
+    draining = _read(heartbeat, state='draining', sequence=9).ok_value
+    ready = _read(heartbeat, sequence=8).ok_value
+    assert is_late(hear(Presence(), draining, 10.0, 1), ready)
+
+
+def test_after_a_leave_no_heartbeat_of_the_run_counts(heartbeat):
+    notice = _read(heartbeat).ok_value
+    presence = lose(hear(Presence(), notice, 10.0, 1), has_left=True)
+    assert is_late(presence, _read(heartbeat, sequence=99).ok_value)
+    silent = lose(hear(Presence(), notice, 10.0, 1), has_left=False)
+    assert not is_late(silent, _read(heartbeat, sequence=99).ok_value)
+
+
+def test_a_late_leave_takes_no_later_run_away(heartbeat):
+    notice = _read(heartbeat, born=BORN_MS + 5).ok_value
+    presence = hear(Presence(), notice, 10.0, 1)
+    assert is_leave_late(presence, 'i-9', 0)
+    assert is_leave_late(presence, 'i-1', BORN_MS)
+    assert not is_leave_late(presence, 'i-1', BORN_MS + 5)
+    assert not is_leave_late(presence, 'i-1', read_leave(b'not json'))
--- /dev/null
+++ b/medlarhoist/platform/boundary_test.py
@@ -0,0 +1,51 @@
+"""Tests of the boundary: the platform's names stay in the adapter."""
+
+import re
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+LINES_LIMIT = 1200
+# Paths, headers and keys of the platform that are no words of the product.
+FOREIGN = re.compile(
+    '|'.join(
+        (
+            '/medlarhoist/(ready|config|rollouts|instances)',
+            'x-attempt-id|x-caller-service|x-expected-instance',
+            'x-not-executed|x-instance-id|x-response-signature',
+            'MEDLARHOIST_SETTINGS',
+            'virtual_hosts|path_prefix|route_type|traffic_split',
+            'target_latency_s|max_attempts|max_connections|health_path',
+            'max_header_bytes|max_body_bytes|header_timeout_s|idle_timeout_s',
+            'base_version|target_version["\']|cold_remaining_s',
+            'heartbeat_url|data_dir\\b|port_range|machine_class',
+            'counts_as_loss|control_plane|non_idempotent|sidecar',
+            'medlarhoist[.]platform',
+        ),
+    ),
+    re.IGNORECASE,
+)
+
+
+def _sources():
+    return [
+        path
+        for path in sorted(ROOT.rglob('*.py'))
+        if 'platform' not in path.relative_to(ROOT).parts
+    ]
+
+
+@pytest.mark.parametrize('path', _sources(), ids=lambda path: path.name)
+def test_nothing_outside_knows_a_name_of_the_platform(path):
+    assert FOREIGN.search(path.read_text()) is None
+
+
+def test_the_adapter_stays_small():
+    lines = [
+        line
+        for path in (ROOT / 'platform').glob('*.py')
+        if not path.name.endswith('_test.py') and path.name != 'conftest.py'
+        for line in path.read_text().splitlines()
+    ]
+    assert len(lines) < LINES_LIMIT
