--- /dev/null
+++ b/medlarhoist/utils/logs_test.py
@@ -0,0 +1,91 @@
+"""Tests of log lines: whole, bounded and never waited for."""
+
+import json
+import os
+
+from loguru import logger
+
+from medlarhoist.core.settings import Logs
+from medlarhoist.utils import logs
+
+
+def _read_all(descriptor):
+    os.set_blocking(descriptor, False)
+    found = b''
+    while True:
+        try:
+            piece = os.read(descriptor, 65_536)
+        except BlockingIOError:
+            return found
+        if not piece:
+            return found
+        found += piece
+
+
+def _open_pipe():
+    reading, writing = os.pipe()
+    return reading, os.fdopen(writing, 'w')
+
+
+def test_fields_stand_in_the_line():
+    reading, stream = _open_pipe()
+    lines = logs.Lines(logs.create_write(stream), in_json=True)
+    sink = logger.add(
+        lines, filter=logs.RepeatFilter(float), format='{message}'
+    )
+    logger.bind(process='n1', request='9c41', used=3).info('target: refused')
+    logger.remove(sink)
+    line = json.loads(_read_all(reading))
+    assert line['request'] == '9c41'
+    assert (line['process'], line['used']) == ('n1', 3)
+    assert line['message'] == 'target: refused'
+
+
+def test_a_reader_that_stands_still_holds_nobody_up():
+    reading, stream = _open_pipe()
+    lines = logs.Lines(logs.create_write(stream), in_json=False)
+    sink = logger.add(lines, filter=lambda record: True, format='{message}')
+    bound = logger.bind(process='n1', suffix='')
+    for number in range(3000):
+        bound.info('calls: {} {}', number, 'x' * 80)
+    assert lines.dropped > 0
+    _read_all(reading)
+    bound.info('calls: after the pause')
+    logger.remove(sink)
+    told = _read_all(reading).decode()
+    assert 'lines before were dropped' in told
+    assert lines.dropped == 0
+
+
+def test_a_long_line_is_cut():
+    reading, stream = _open_pipe()
+    lines = logs.Lines(logs.create_write(stream), in_json=False)
+    sink = logger.add(lines, filter=lambda record: True, format='{message}')
+    logger.bind(process='n1', suffix='').info('x' * 10_000)
+    logger.remove(sink)
+    assert len(_read_all(reading)) <= logs.LINE_LIMIT_BYTES
+
+
+def test_decisions_are_bounded_too(monkeypatch):
+    monkeypatch.setattr(logs, 'DECISIONS_PER_INTERVAL', 7)
+    now = [0.0]
+    written = []
+    sink = logger.add(
+        written.append,
+        filter=logs.RepeatFilter(lambda: now[0]),
+        format='{message}{extra[suffix]}',
+    )
+    for _ in range(2):
+        for _ in range(10):
+            logger.info('calls: a call has ended')
+        now[0] += logs.REPEAT_INTERVAL_SECONDS
+    logger.remove(sink)
+    assert len(written) == 14
+    assert '(3 more like it before)' in written[7]
+
+
+def test_a_process_writes_to_standard_output(capfd):
+    logs.set_up_logs(Logs(json=True), 'n1')
+    logger.bind(domain='a').info('node: starts')
+    logger.remove()
+    assert json.loads(capfd.readouterr().out)['domain'] == 'a'
