--- a/medlarhoist/core/split_test.py
+++ b/medlarhoist/core/split_test.py
@@ -32,9 +32,10 @@
 
 
 def test_nodes_do_not_pick_in_step():
+    splitters = [Splitter(Random(seed)) for seed in range(20)]
     firsts = {
         tuple(splitter.pick(_route()) for _ in range(10))
-        for splitter in (Splitter(Random(seed)) for seed in range(20))
+        for splitter in splitters
     }
     assert len(firsts) > 3
 
--- a/medlarhoist/ops/client.py
+++ b/medlarhoist/ops/client.py
@@ -11,7 +11,12 @@
 
 from msgspec import DecodeError, Struct, ValidationError, json
 
-from medlarhoist.core.answer import ApplyAnswer, ApplyRequest, Problem
+from medlarhoist.core.answer import (
+    ApplyAnswer,
+    ApplyRequest,
+    Problem,
+    ReplaceRequest,
+)
 from medlarhoist.core.command import Status
 from medlarhoist.core.verdict import Verdict
 
@@ -70,6 +75,10 @@
         """Make changes, resending under the same id until they ended."""
         return self._send('POST', '/v1/apply', json.encode(request))
 
+    def replace(self, request: ReplaceRequest) -> Reply:
+        """Put a whole configuration, resending it until it ended."""
+        return self._send('PUT', '/v1/configuration', json.encode(request))
+
     def _send(self, method: str, path: str, body: bytes) -> Reply:
         verdict = Verdict.DID_NOT_RUN
         reply = Reply(status=0, body=b'no source was asked')
@@ -178,7 +187,7 @@
 def _is_final(method: str, reply: Reply) -> bool:
     if reply.status == 0 or reply.status in TRY_AGAIN:
         return False
-    return method != 'POST' or not _is_pending(reply)
+    return method == 'GET' or not _is_pending(reply)
 
 
 def _doubt(reply: Reply, verdict: Verdict) -> Reply:
--- a/medlarhoist/ops/command_line_test.py
+++ b/medlarhoist/ops/command_line_test.py
@@ -26,6 +26,27 @@
 service: seats
 timeout: 2s
 """
+WHOLE = """kind: service
+name: seats
+---
+kind: service
+name: maps
+---
+kind: limits
+idle_timeout: 15s
+---
+kind: route
+name: all
+host: shop.example
+prefix: /
+split:
+  - {service: seats, weight: 90}
+  - {service: maps, weight: 10}
+idempotent: true
+attempts: 2
+objective: 400ms
+priority: 1
+"""
 MOVE = """
 kind: move
 name: to-v2
@@ -148,3 +169,15 @@
     assert codes == [0, 0, 0]
     lines = capsys.readouterr().out.splitlines()
     assert lines[-4:-2] == lines[-2:]
+
+
+def test_replace_then_configuration(run, capsys, tmp_path):
+    (tmp_path / 'whole.yaml').write_text(WHOLE)
+    put = 'replace -f whole.yaml --revision 3'
+    assert run(put, 'configuration', 'get route') == [0, 0, 0]
+    shown = capsys.readouterr().out
+    assert f'# revision 3\n{WHOLE}' in shown
+    assert 'host=shop.example' in shown
+    assert 'attempts=2' in shown
+    again = 'replace -f whole.yaml --revision 5'
+    assert run(again) == [ExitCode.CONFLICT]
--- a/medlarhoist/ops/commands.py
+++ b/medlarhoist/ops/commands.py
@@ -11,8 +11,10 @@
 from medlarhoist.core.answer import (
     ApplyAnswer,
     ApplyRequest,
+    ConfigurationAnswer,
     Events,
     Moves,
+    ReplaceRequest,
     Resources,
     StatusReport,
 )
@@ -60,9 +62,60 @@
         """
         changes, faults = _read_changes(file)
         if faults:
-            return self._report_faults(faults)
+            return _report_faults(faults, in_json=self._in_json)
         return self._send_changes(changes, request_id)
 
+    def replace(
+        self,
+        *,
+        file: Path,
+        revision: int,
+        base: int = 0,
+        request_id: str = '',
+    ) -> ExitCode:
+        """Put a file in force as the whole configuration.
+
+        What the file does not name is deleted; the current versions of
+        services and their moves stay where the file names none.
+
+        Args:
+            file: YAML with one resource per document, no moves.
+            revision: your own number of it, above the one in force.
+            base: number of the one that it builds on, 0 for the first.
+            request_id: given to resend an earlier request.
+        """
+        changes, faults = _read_changes(file)
+        if faults:
+            return _report_faults(faults, in_json=self._in_json)
+        if self._client is None:
+            return _report_problem(self._ask(''))
+        request = ReplaceRequest(
+            request_id=request_id or uuid.uuid4().hex,
+            revision=revision,
+            base=base,
+            resources=tuple(
+                change.resource
+                for change in changes
+                if change.resource is not None
+            ),
+            document=file.read_text(),
+        )
+        return self._report_reply(
+            request.request_id,
+            self._client.replace(request),
+        )
+
+    def configuration(self) -> ExitCode:
+        """Print the whole configuration in force, as it was put."""
+        reply = self._ask('/v1/configuration')
+        found = read_answer(reply, ConfigurationAnswer)
+        if found is None:
+            return _report_problem(reply)
+        if self._in_json:
+            return _print_json(found)
+        sys.stdout.write(f'# revision {found.revision}\n{found.document}')
+        return ExitCode.DONE
+
     def check(self, *, file: Path) -> ExitCode:
         """Check the resources of a file without applying them.
 
@@ -74,9 +127,11 @@
         """
         changes, faults = _read_changes(file)
         if faults:
-            return self._report_faults(faults)
+            return _report_faults(faults, in_json=self._in_json)
         if self._client is None:
-            return self._report_check(file, try_changes((), (), changes))
+            return _report_check(
+                file, try_changes((), (), changes), in_json=self._in_json
+            )
         resources = self._client.get('/v1/resources')
         moves = self._client.get('/v1/moves')
         known = read_answer(resources, Resources)
@@ -84,7 +139,7 @@
         if known is None or known_moves is None:
             return _report_problem(resources if known is None else moves)
         found = try_changes(known.entries, known_moves.moves, changes)
-        return self._report_check(file, found)
+        return _report_check(file, found, in_json=self._in_json)
 
     def delete(
         self,
@@ -97,7 +152,7 @@
         """Delete a resource; a running move is rolled back by it.
 
         Args:
-            kind: service, route, target-version or move.
+            kind: service, route, limits, target-version or move.
             name: name of the resource.
             base: resource version that must be in force.
             request_id: given to resend an earlier request.
@@ -109,7 +164,7 @@
         """Print the resources in force.
 
         Args:
-            kind: service, route, target-version or move; all by default.
+            kind: service, route, limits, target-version or move; all by default.
             name: name of one resource.
         """
         path = '/'.join(part for part in (kind, name) if part)
@@ -198,7 +253,7 @@
             if found is None:
                 return _report_problem(reply)
             for event in found.events:
-                self._print_event(event)
+                _print_event(event, in_json=self._in_json)
                 ended = _find_end(event, until)
                 if ended is not None:
                     return exit_code_of_move(ended.phase)
@@ -227,10 +282,15 @@
             request_id=request_id or uuid.uuid4().hex,
             changes=changes,
         )
-        reply = self._client.apply(request)
+        return self._report_reply(
+            request.request_id,
+            self._client.apply(request),
+        )
+
+    def _report_reply(self, request_id: str, reply: Reply) -> ExitCode:
         answer = read_answer(reply, ApplyAnswer)
         if answer is None:
-            sys.stderr.write(f'request {request.request_id}\n')
+            sys.stderr.write(f'request {request_id}\n')
             return _report_problem(reply)
         return self._report_answer(answer)
 
@@ -244,31 +304,13 @@
         stream.write(f'{describe_answer(answer)}\n')
         return code
 
-    def _report_faults(self, faults: tuple[Fault, ...]) -> ExitCode:
-        if self._in_json:
-            _print_json({'faults': faults})
-        else:
-            for fault in faults:
-                sys.stderr.write(f'{describe_fault(fault)}\n')
-        return ExitCode.REFUSED if faults else ExitCode.DONE
-
-    def _report_check(self, file: Path, faults: tuple[Fault, ...]) -> ExitCode:
-        if not faults and not self._in_json:
-            sys.stdout.write(f'{file}: can be applied\n')
-        return self._report_faults(faults)
-
-    def _print_event(self, event: Event) -> None:
-        if self._in_json:
-            _print_json(event)
-        else:
-            sys.stdout.write(f'{describe_event(event)}\n')
-            sys.stdout.flush()
-
 
 def list_commands(commands: Commands) -> list[Callable[..., ExitCode]]:
     """Return the subcommands in the order of the help page."""
     return [
         commands.apply,
+        commands.replace,
+        commands.configuration,
         commands.check,
         commands.delete,
         commands.get,
@@ -288,6 +330,34 @@
     return parse_manifest(text, str(file), wall_ms())
 
 
+def _report_faults(faults: tuple[Fault, ...], *, in_json: bool) -> ExitCode:
+    if in_json:
+        _print_json({'faults': faults})
+    else:
+        for fault in faults:
+            sys.stderr.write(f'{describe_fault(fault)}\n')
+    return ExitCode.REFUSED if faults else ExitCode.DONE
+
+
+def _report_check(
+    file: Path,
+    faults: tuple[Fault, ...],
+    *,
+    in_json: bool,
+) -> ExitCode:
+    if not faults and not in_json:
+        sys.stdout.write(f'{file}: can be applied\n')
+    return _report_faults(faults, in_json=in_json)
+
+
+def _print_event(event: Event, *, in_json: bool) -> None:
+    if in_json:
+        _print_json(event)
+    else:
+        sys.stdout.write(f'{describe_event(event)}\n')
+        sys.stdout.flush()
+
+
 def _report_problem(reply: Reply) -> ExitCode:
     problem = reply.problem
     verdict = reply.verdict.value
--- a/medlarhoist/parser/manifest.py
+++ b/medlarhoist/parser/manifest.py
@@ -8,11 +8,21 @@
 
 from msgspec import Meta, Struct
 
-from medlarhoist.core.check import CONNECTIONS_LIMIT, SLOTS_LIMIT
+from medlarhoist.core.check import (
+    ATTEMPTS_LIMIT,
+    CONNECTIONS_LIMIT,
+    PRIORITY_LIMIT,
+    SLOTS_LIMIT,
+    WEIGHT_LIMIT,
+)
+from medlarhoist.core.compile import NO_LIMITS
 from medlarhoist.core.resource import (
+    DEFAULT_ATTEMPTS,
     Change,
     Fault,
+    Limits,
     Move,
+    Part,
     Resource,
     Route,
     Service,
@@ -36,6 +46,9 @@
 Base = Annotated[int, Meta(ge=0, le=VERSION_LIMIT)]
 Slots = Annotated[int, Meta(ge=1, le=SLOTS_LIMIT)]
 Connections = Annotated[int, Meta(ge=1, le=CONNECTIONS_LIMIT)]
+Attempts = Annotated[int, Meta(ge=1, le=ATTEMPTS_LIMIT)]
+Priority = Annotated[int, Meta(ge=0, le=PRIORITY_LIMIT)]
+Weight = Annotated[int, Meta(ge=0, le=WEIGHT_LIMIT)]
 
 
 class _Manifest(
@@ -59,19 +72,40 @@
     """A service."""
 
     name: str
-    current: str
+    current: str = ''
     slots: Slots = 20
     connections: Connections = 110
 
 
+class PartManifest(Struct, frozen=True, forbid_unknown_fields=True):
+    """One part of a split route."""
+
+    service: str
+    weight: Weight
+
+
 class RouteManifest(_Manifest, frozen=True, kw_only=True, tag='route'):
-    """A route."""
+    """A route; it names a service, or splits its calls between several."""
 
     name: str
     prefix: str
-    service: str
+    host: str = ''
+    service: str = ''
+    split: tuple[PartManifest, ...] = ()
     idempotent: bool = False
+    attempts: Attempts = DEFAULT_ATTEMPTS
     timeout: Duration = '5s'
+    objective: Duration | None = None
+    priority: Priority = 0
+
+
+class LimitsManifest(_Manifest, frozen=True, kw_only=True, tag='limits'):
+    """What callers may send, and how long they may take."""
+
+    head_bytes: int = NO_LIMITS.head_bytes
+    body_bytes: int = NO_LIMITS.body_bytes
+    head_timeout: Duration = '10s'
+    idle_timeout: Duration = '75s'
 
 
 class TargetVersionManifest(
@@ -91,14 +125,18 @@
 
     name: str
     service: str
-    old: str
     new: str
+    old: str = ''
     deadline: str
     bake: Duration = '2s'
 
 
 Manifest = (
-    ServiceManifest | RouteManifest | TargetVersionManifest | MoveManifest
+    ServiceManifest
+    | RouteManifest
+    | TargetVersionManifest
+    | MoveManifest
+    | LimitsManifest
 )
 
 
@@ -167,12 +205,13 @@
             connections=manifest.connections,
         )
     if isinstance(manifest, RouteManifest):
-        return Route(
-            name=manifest.name,
-            prefix=manifest.prefix,
-            service=manifest.service,
-            idempotent=manifest.idempotent,
-            timeout_ms=read_duration(manifest.timeout) or 0,
+        return _build_route(manifest)
+    if isinstance(manifest, LimitsManifest):
+        return Limits(
+            head_bytes=manifest.head_bytes,
+            body_bytes=manifest.body_bytes,
+            head_timeout_ms=read_duration(manifest.head_timeout) or 0,
+            idle_timeout_ms=read_duration(manifest.idle_timeout) or 0,
         )
     if isinstance(manifest, TargetVersionManifest):
         return TargetVersion(
@@ -183,6 +222,24 @@
     return _build_move(manifest, now_ms)
 
 
+def _build_route(manifest: RouteManifest) -> Route:
+    return Route(
+        name=manifest.name,
+        prefix=manifest.prefix,
+        host=manifest.host,
+        service=manifest.service,
+        split=tuple(
+            Part(service=part.service, weight=part.weight)
+            for part in manifest.split
+        ),
+        idempotent=manifest.idempotent,
+        attempts=manifest.attempts,
+        timeout_ms=read_duration(manifest.timeout) or 0,
+        objective_ms=read_duration(manifest.objective or '') or 0,
+        priority=manifest.priority,
+    )
+
+
 def _build_move(manifest: MoveManifest, now_ms: int) -> Move | None:
     deadline_ms = read_deadline(manifest.deadline, now_ms)
     if deadline_ms is None:
--- a/medlarhoist/platform/announcement_test.py
+++ b/medlarhoist/platform/announcement_test.py
@@ -54,7 +54,7 @@
 
 def test_bytes_that_cannot_be_read_name_no_target(heartbeat):
     body = json.dumps(heartbeat).encode()
-    for spoiled in (b'', b'\xff' + body, body[:-1], b'[]', b'{}'):
+    for spoiled in (b'', b'\xff%b' % body, body[:-1], b'[]', b'{}'):
         assert isinstance(read_heartbeat('i-1', spoiled), Err)
 
 
--- a/medlarhoist/platform/configuration_test.py
+++ b/medlarhoist/platform/configuration_test.py
@@ -71,7 +71,7 @@
 
 
 def test_the_document_is_kept_byte_by_byte(told, state):
-    body = b' ' + _encode(told, unknown={'kept': [1.50]}) + b'\n'
+    body = b' %b\n' % _encode(told, unknown={'kept': [1.5]})
     state, status = _put(state, body)
     assert status is Status.ACCEPTED
     assert state.revision.document == body
