--- a/bench/demo.py
+++ b/bench/demo.py
@@ -107,17 +107,20 @@
 
 
 def show_start(fleet: Fleet, report: Report) -> None:
-    """Apply the sample as soon as the sources take it."""
+    """Put the sample as a whole configuration, and read it back."""
     sample = str(EXAMPLES / 'bookings.yaml')
     outputs: list[str] = []
 
     def is_accepted() -> bool:  # noqa: WPS430
-        done = fleet.tool('apply', '-f', sample)
+        done = fleet.tool('replace', '-f', sample, '--revision', '1')
         outputs.append(f'{done.stdout}{done.stderr}'.strip())
         return done.returncode == 0
 
     held = wait_until(is_accepted, START_SECONDS)
     report.add('sample accepted', held=held, detail=outputs[-1])
+    read = fleet.tool('configuration').stdout
+    is_same = read.endswith((EXAMPLES / 'bookings.yaml').read_text())
+    report.add('sample read back', held=is_same, detail=read[:13].strip())
 
 
 def show_in_force(fleet: Fleet, report: Report) -> None:
