--- a/medlarhoist/core/keeper_plan.py
+++ b/medlarhoist/core/keeper_plan.py
@@ -20,10 +20,10 @@
 from medlarhoist.core.command import KeeperSet
 from medlarhoist.core.floor import majority
 
-# Longer than a restart of the process takes.
-GONE_SECONDS: Final = 2.5
+# Longer than a keeper takes to notice a new leader and to attach to it.
+GONE_SECONDS: Final = 5.0
 # Longer than most cuts of single machines last.
-LOST_SECONDS: Final = 4.0
+LOST_SECONDS: Final = 5.0
 
 
 class KeeperView(Struct, frozen=True, kw_only=True):
--- a/medlarhoist/node/uplink.py
+++ b/medlarhoist/node/uplink.py
@@ -26,7 +26,8 @@
 from medlarhoist.wire.procedures import ATTACH
 from medlarhoist.wire.rpc import open_stream
 
-SILENCE_SECONDS: Final = 4.0
+# Parents send something each second.
+SILENCE_SECONDS: Final = 2.5
 STEADY_SECONDS: Final = 5.0
 PATIENCE_SECONDS: Final = 4.0
 LONGEST_PATIENCE_SECONDS: Final = 64.0
@@ -203,11 +204,17 @@
                 return
             if not self.parent:
                 logger.info('tree: attached to {}', address)
+                self._note_leader(address)
             self.parent = address
             if self._receiver.receive(message):
                 await stream.send_message(self._receiver.hello(whole=True))
             self._sender.mark_changed()
 
+    def _note_leader(self, address: str) -> None:
+        """Note that the source that took this keeper in leads."""
+        if self._keeper.is_keeper:
+            self._directory.leader = address
+
     def _follow(self, message: Redirect) -> None:
         if self._keeper.is_keeper:
             self._directory.leader = message.address
--- a/medlarhoist/source/keepers.py
+++ b/medlarhoist/source/keepers.py
@@ -10,7 +10,8 @@
 from medlarhoist.core.ports import Ledger, NotLeader, OutcomeUnknown
 from medlarhoist.utils.clock import wall_ms
 
-CANDIDATE_SECONDS: Final = 30.0
+# Nodes that are there are told of more often, by a keeper or by themselves.
+CANDIDATE_SECONDS: Final = 12.0
 FOUNDING_SECONDS: Final = 0.5
 
 
--- a/medlarhoist/wire/channels.py
+++ b/medlarhoist/wire/channels.py
@@ -10,7 +10,8 @@
 from medlarhoist.wire.codec import CodecError
 from medlarhoist.wire.rpc import Method, call, create_channel
 
-REPLY_SECONDS: Final = 2.0
+# Far above a round trip between any two failure domains.
+REPLY_SECONDS: Final = 1.0
 CHANNELS: Final = 64
 CALL_ERRORS: Final = (
     OSError,
