--- a/medlarhoist/node/app.py
+++ b/medlarhoist/node/app.py
@@ -138,6 +138,7 @@
             self._distribution.dump(),
             self._proxy.dump(),
             self._recorder.totals(),
+            self._recorder.latencies,
         )
 
     def _find_shares(self) -> dict[str, Share]:
--- a/medlarhoist/node/metrics.py
+++ b/medlarhoist/node/metrics.py
@@ -1,14 +1,16 @@
 """Metrics of a node, read from the views that its dump shows."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from typing import Final
 
+from medlarhoist.core.latency import Latencies
 from medlarhoist.node.distribution import DistributionView
 from medlarhoist.node.proxy.proxy import ProxyDump
 from medlarhoist.node.recorder import Totals
 from medlarhoist.utils.metrics import Family, Metric, Sample
 from medlarhoist.utils.traffic import Volume
 
+_US_PER_SECOND: Final = 1_000_000
 ACTIVE: Final = Metric(
     name='node_configuration_version',
     doc='Configuration version in force at this node; zero for none.',
@@ -22,6 +24,16 @@
     doc='Calls by service, route, target version and result.',
     family=Family.COUNTER,
 )
+LATENCY_BUCKET: Final = Metric(
+    name='calls_within_total',
+    doc='Calls by service that ended within `le` seconds; cumulative.',
+    family=Family.COUNTER,
+)
+LATENCY_SUM: Final = Metric(
+    name='call_seconds_total',
+    doc='Time that the calls of a service took together.',
+    family=Family.COUNTER,
+)
 RETRIES: Final = Metric(
     name='call_retries_total',
     doc='Attempts after the first.',
@@ -62,6 +74,8 @@
     ACTIVE,
     HELD,
     CALLS,
+    LATENCY_BUCKET,
+    LATENCY_SUM,
     RETRIES,
     MALFORMED,
     CROSSED,
@@ -79,6 +93,7 @@
     distribution: DistributionView,
     proxy: ProxyDump,
     totals: tuple[Totals, ...],
+    latencies: Mapping[str, Latencies],
 ) -> Iterator[Sample]:
     """Yield the samples of a node.
 
@@ -86,6 +101,7 @@
         distribution: what the dump shows of the distribution.
         proxy: what it shows of the calls.
         totals: calls since the start by route and target version.
+        latencies: of calls since the start, by service.
     """
     active = distribution.configuration.active or 0
     yield Sample(metric=ACTIVE, number=active)
@@ -106,6 +122,8 @@
     yield from _list_proxy(proxy)
     for total in totals:
         yield from _list_calls(total)
+    for service, known in latencies.items():
+        yield from _list_latencies(service, known)
 
 
 def _list_proxy(proxy: ProxyDump) -> Iterator[Sample]:
@@ -126,6 +144,15 @@
         yield Sample(metric=CONNECTIONS, number=count, labels=labels)
 
 
+def _list_latencies(service: str, known: Latencies) -> Iterator[Sample]:
+    labels = {'service': service}
+    for bound, count in known.list_buckets():
+        bucket = {**labels, 'le': bound}
+        yield Sample(metric=LATENCY_BUCKET, number=count, labels=bucket)
+    total_s = known.total_us / _US_PER_SECOND
+    yield Sample(metric=LATENCY_SUM, number=total_s, labels=labels)
+
+
 def _list_calls(total: Totals) -> Iterator[Sample]:
     for result, count in (
         ('succeeded', total.succeeded),
--- a/medlarhoist/node/metrics_test.py
+++ b/medlarhoist/node/metrics_test.py
@@ -2,6 +2,7 @@
 
 from msgspec import convert
 
+from medlarhoist.core.latency import Latencies
 from medlarhoist.node.distribution import DistributionView
 from medlarhoist.node.metrics import list_node_samples
 from medlarhoist.node.proxy.proxy import ProxyDump
@@ -61,12 +62,15 @@
 
 def test_a_node_tells_of_its_version_calls_and_control_bytes():
     totals = Totals('seats', 'seats', 'v1', 10, 1, 2)
+    latencies = Latencies()
+    latencies.note(60_000)
     metrics = create_metrics()
     metrics.add(
         lambda: list_node_samples(
             convert(DISTRIBUTION, DistributionView),
             PROXY,
             (totals,),
+            {'seats': latencies},
         ),
     )
     shown = metrics.render().decode()
@@ -75,3 +79,5 @@
     assert 'medlarhoist_connections{listener="peer"} 5' in shown
     assert 'direction="sent",kind="Hello"} 90' in shown
     assert '"refused"' in shown
+    assert 'calls_within_total{le="0.1",service="seats"} 1' in shown
+    assert 'calls_within_total{le="0.05",service="seats"} 0' in shown
--- a/medlarhoist/node/recorder.py
+++ b/medlarhoist/node/recorder.py
@@ -17,6 +17,7 @@
     merge_rows,
 )
 from medlarhoist.core.histogram import BUCKETS, bucket_of, trim_counts
+from medlarhoist.core.latency import Latencies
 
 WINDOW_MS: Final = 1000
 MAX_PENDING_ROWS: Final = 4000
@@ -67,7 +68,11 @@
 
 
 class Recorder:
-    """Counts calls by route and version."""
+    """Counts calls by route and version.
+
+    Args:
+        latencies: of the calls that were not refused, by service.
+    """
 
     __slots__ = (
         '_clock',
@@ -77,6 +82,7 @@
         '_pending',
         '_windows',
         'dropped_rows',
+        'latencies',
     )
 
     def __init__(self, domain: str, clock: Clock) -> None:
@@ -88,6 +94,7 @@
         self._pending: list[EvidenceRow] = []
         self._windows: dict[EvidenceKey, int] = {}
         self.dropped_rows = 0
+        self.latencies: dict[str, Latencies] = {}
 
     def record(
         self,
@@ -103,6 +110,8 @@
         if counter is None:
             counter = _Counter()
             self._counters[(route, label)] = counter
+        if not refused:
+            self.latencies.setdefault(route[0], Latencies()).note(latency_us)
         if succeeded:
             counter.succeeded += 1
             counter.buckets[bucket_of(latency_us)] += 1
