--- a/medlarhoist/core/rollout.py
+++ b/medlarhoist/core/rollout.py
@@ -40,6 +40,8 @@
 CALLS_PER_FAILURE: Final = 14
 LIVE_WINDOWS: Final = 30
 LIVE_PART: Final = 0.01
+# Calls come by chance: half of those expected come nearly always.
+SAFE_PART: Final = 0.5
 WINDOW_MS: Final = 1000
 
 
@@ -183,7 +185,8 @@
         own = [one for one in series if one.route == route]
         needed = wanted
         if share is not None:
-            needed = min(wanted, int(share * _count_calls(own, times)))
+            expected = share * _count_calls(own, times)
+            needed = min(wanted, int(SAFE_PART * expected))
         missing = _missing_calls(own, times, needed)
         if missing:
             return f'too little traffic on {route}, {missing}'
