--- a/medlarhoist/core/rollout.py
+++ b/medlarhoist/core/rollout.py
@@ -40,8 +40,8 @@
 CALLS_PER_FAILURE: Final = 14
 LIVE_WINDOWS: Final = 30
 LIVE_PART: Final = 0.01
-# Calls come by chance: half of those expected come nearly always.
-SAFE_PART: Final = 0.5
+# Calls come by chance: of three that are expected one comes nearly always.
+SAFE_PART: Final = 0.3
 WINDOW_MS: Final = 1000
 
 
@@ -95,7 +95,9 @@
     times = times_of(move, seen_ms, now_ms)
     following = fit_stages(stages, move.basis_points, times)
     has_spare = has_spare_time(following, times)
-    missing = _missing(stage, series, times, has_spare=has_spare)
+    needed = [one for one in following if not one.is_optional]
+    may_wait = not following or has_spare_time(needed, times)
+    missing = _missing(stage, series, times, may_wait=may_wait)
     is_last = stage == stages[-1]
     if is_last and not missing:
         return _complete(series)
@@ -149,7 +151,7 @@
     series: Sequence[Series],
     times: Times,
     *,
-    has_spare: bool,
+    may_wait: bool,
 ) -> str:
     if times.now_ms - times.since_ms < stage.dwell_ms:
         return f'watched for less than {stage.dwell_ms} ms'
@@ -161,7 +163,7 @@
         series,
         times,
         stage.route_calls,
-        None if has_spare else share,
+        None if may_wait else share,
     )
 
 
