--- a/medlarhoist/core/hop.py
+++ b/medlarhoist/core/hop.py
@@ -22,8 +22,6 @@
 ARRIVED_HEADER: Final = b'x-medlarhoist-arrived'
 RETRY_AFTER: Final = b'retry-after'
 REASON_HEADER: Final = b'x-medlarhoist-reason'
-CALLER_DEADLINE_HEADER: Final = b'x-deadline-ms'
-TARGET_REFUSAL_HEADER: Final = b'x-did-not-run'
 
 _CONNECTION_HEADERS: Final = frozenset(
     (
