--- a/medlarhoist/source/api_test.py
+++ b/medlarhoist/source/api_test.py
@@ -23,7 +23,6 @@
 from medlarhoist.core.state import State
 from medlarhoist.source import api_write
 from medlarhoist.source.api import create_api
-from medlarhoist.source.api_write import create_writing
 from medlarhoist.source.transition import apply_command
 from medlarhoist.utils.clock import wall_ms
 from medlarhoist.utils.loop import create_host
@@ -43,15 +42,12 @@
         self.state = State()
         self.is_leader = True
         self.leader = 's1'
+        self.peers = create_settings().sources
         self.ends = 'activate'
         self.loses_answers = 0
         self.commands = []
         self._callbacks = []
 
-    @property
-    def peers(self):
-        return create_settings().sources
-
     def subscribe(self, callback):
         self._callbacks.append(callback)
 
@@ -117,7 +113,7 @@
 
 
 def start_api(host, ledger, **views):
-    writing = create_writing(ledger, wall_ms)
+    writing = api_write.create_writing(ledger, wall_ms)
     return create_api(host, create_settings(), ledger, writing, **views)
 
 
--- a/medlarhoist/source/serve.py
+++ b/medlarhoist/source/serve.py
@@ -74,7 +74,7 @@
         while not asked.is_set():
             await _serve_once(cfg, host, sites, spare, asked)
     except (StorageDamaged, OSError) as exc:
-        logger.error('source: cannot use its data folder: {}', exc)
+        logger.error('source: cannot start: {}', exc)
         return EXIT_STORAGE_DAMAGED
     await reloader.stop()
     logger.info('source: has ended')
@@ -148,5 +148,4 @@
     await run_until_first(asked.wait(), wait_for_place())
     for site in listeners:
         await site.stop()
-        site.unregister()
     return found[0] if found else None
--- a/medlarhoist/utils/web.py
+++ b/medlarhoist/utils/web.py
@@ -186,7 +186,10 @@
         while self._tasks and asyncio.get_running_loop().time() < end:
             await asyncio.sleep(STOP_POLL_SECONDS)
         self.fire(close())
-        await asyncio.sleep(0)
+        await asyncio.sleep(STOP_POLL_SECONDS)
+        # Another site may serve the same channel later in this process.
+        self.unregister()
+        await asyncio.sleep(STOP_POLL_SECONDS)
 
     @handler('request')
     def _on_request(self, req: Any, res: Any) -> bool:
--- a/medlarhoist/utils/web_test.py
+++ b/medlarhoist/utils/web_test.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server over loopback."""
 
 import asyncio
+from http.client import HTTPConnection
 
 import pytest
 from hypothesis import given, settings
@@ -217,3 +218,35 @@
     monkeypatch.setattr(web, 'SWEEP_SECONDS', 0.05)
     answer = asyncio.run(asyncio.wait_for(_fall_silent(), timeout=10))
     assert not answer
+
+
+def test_a_site_may_follow_another_on_its_channel():
+    """A source that becomes spare serves operators on the same address."""
+
+    async def answer(request):
+        return WebAnswer(body=b'{"from":"second"}')
+
+    async def main():
+        host = create_host(asyncio.get_running_loop())
+        first = create_site(host, 'test', '127.0.0.1:0', _refuse_all)
+        address = first.address
+        await first.stop()
+        second = create_site(host, 'test', address, answer)
+        found = [await asyncio.to_thread(_fetch, address) for _ in range(3)]
+        await second.stop()
+        return found
+
+    assert asyncio.run(main()) == [(200, b'{"from":"second"}')] * 3
+
+
+async def _refuse_all(request):
+    return WebAnswer(status=418)
+
+
+def _fetch(address):
+    conn = HTTPConnection(address, timeout=5)
+    conn.request('GET', '/')
+    response = conn.getresponse()
+    found = (response.status, response.read())
+    conn.close()
+    return found
