--- a/bench/distribution_faults_test.py
+++ b/bench/distribution_faults_test.py
@@ -108,12 +108,19 @@
     async def scenario(fleet):
         await _settle(fleet)
         child = fleet.nodes[_others(fleet)[0]]
-        parent = next(
-            name
-            for name in _keepers(fleet)
-            if fleet.nodes[name].cfg.control
-            == child.distribution.dump().uplink.parent
-        )
+        parents: list[str] = []
+
+        def has_parent():
+            parents[:] = [
+                name
+                for name in _keepers(fleet)
+                if fleet.nodes[name].cfg.control
+                == child.distribution.dump().uplink.parent
+            ]
+            return bool(parents)
+
+        await until(has_parent)
+        parent = parents[0]
         await fleet.nodes[parent].stop()
         fleet.nodes.pop(parent)
         await fleet.activate(2)
