--- a/bench/distribution_faults_test.py
+++ b/bench/distribution_faults_test.py
@@ -111,13 +111,14 @@
         parents: list[str] = []
 
         def has_parent():
-            parents[:] = [
+            found = [
                 name
                 for name in _keepers(fleet)
                 if fleet.nodes[name].cfg.control
                 == child.distribution.dump().uplink.parent
             ]
-            return bool(parents)
+            parents.extend(found)
+            return bool(found)
 
         await until(has_parent)
         parent = parents[0]
