--- a/medlarhoist/node/proxy/local.py
+++ b/medlarhoist/node/proxy/local.py
@@ -121,14 +121,15 @@
         fault = await self._admit(order)
         if fault:
             self.refused += 1
+            load = self.load
             left_s = order.deadline - time.monotonic()
             caller_id = read_id(self._dialect, request.headers)
-            log_refusal(caller_id, fault, self.load, left_s)
+            log_refusal(caller_id, fault, load, left_s)
             return Failure(
                 Verdict.DID_NOT_RUN,
                 fault,
-                load=self.load,
-                return_s=return_seconds(self.load, self._draw),
+                load=load,
+                return_s=return_seconds(load, self._draw),
             )
         started = time.monotonic()
         sent = self._address(request, order)
--- a/medlarhoist/source/spare_test.py
+++ b/medlarhoist/source/spare_test.py
@@ -43,14 +43,20 @@
         return self.placed.get(name) or Group.settings(self, name)
 
 
+async def _start_group(folder):
+    """Start three sources; there is a port for a spare one."""
+    group = SpareGroup(folder, NAMES)
+    group.placed = {}
+    group.ports = await _free_ports((*NAMES, 'spare'))
+    for name in NAMES:
+        await group.start(name)
+    return group
+
+
 def test_a_spare_source_takes_the_place_of_a_lost_one(tmp_path):
     async def scenario():
-        group = SpareGroup(tmp_path, NAMES)
-        group.placed = {}
-        ports = await _free_ports((*NAMES, 'spare'))
-        group.ports = ports
-        for name in NAMES:
-            await group.start(name)
+        group = await _start_group(tmp_path)
+        ports = group.ports
         assert (await group.propose(add(1))).version == 1
         founder = group.settings('s3')
         await group.stop('s3')
@@ -93,12 +99,8 @@
 
 def test_nobody_gets_the_place_of_a_source_that_answers(tmp_path):
     async def scenario():
-        group = SpareGroup(tmp_path, NAMES)
-        group.placed = {}
-        ports = await _free_ports((*NAMES, 'spare'))
-        group.ports = ports
-        for name in NAMES:
-            await group.start(name)
+        group = await _start_group(tmp_path)
+        ports = group.ports
         await group.leader()
         seeds = Identity(name='s4', sources=group.settings('s1').sources)
         spare = create_spare(group.place(seeds, ports['spare']))
