Accept routes of uploads, whose requests may run once

Cause: the adapter refused each configuration with a route of the type 'upload', so nothing of such a deployment was served.

Ruled out: a kind of route of its own in the product; what differs is the size of the body, which no decision depends on.

The new case of configuration_test was red before ('unknown type').

--- a/medlarhoist/platform/configuration_test.py
+++ b/medlarhoist/platform/configuration_test.py
@@ -73,6 +73,24 @@
     assert (limits.head_timeout_ms, limits.idle_timeout_ms) == (3000, 15_000)
 
 
+@pytest.mark.parametrize(
+    ('kind', 'is_idempotent'),
+    [
+        ('idempotent', True),
+        ('download', True),
+        ('non_idempotent', False),
+        ('upload', False),
+    ],
+)
+def test_the_type_of_a_route_states_whether_requests_may_run_twice(
+    document, kind, is_idempotent
+):
+    document['virtual_hosts'][0]['paths'][0]['route_type'] = kind
+    request = read_configuration(_encode(document)).ok_value
+    (route,) = (route for route in request.resources if route.name == 'r-1')
+    assert route.idempotent is is_idempotent
+
+
 def test_the_document_is_stored_byte_by_byte(document, state):
     body = b' %b\n' % _encode(document, unknown={'kept': [1.5]})
     state, status = _put(state, body)
--- a/medlarhoist/platform/names.py
+++ b/medlarhoist/platform/names.py
@@ -41,4 +41,4 @@
     MovePhase.ROLLED_BACK: 'rolled_back',
 }
 IDEMPOTENT_ROUTE_TYPES: Final = frozenset(('idempotent', 'download'))
-NON_IDEMPOTENT_ROUTE_TYPES: Final = frozenset(('non_idempotent',))
+NON_IDEMPOTENT_ROUTE_TYPES: Final = frozenset(('non_idempotent', 'upload'))
