--- /dev/null
+++ b/medlarhoist/node/proxy/listener.py
@@ -0,0 +1,126 @@
+"""Listener: a listening address and the connections accepted on it."""
+
+import asyncio
+import socket
+from typing import Final
+
+from medlarhoist.core.compile import DEFAULT_LIMITS
+from medlarhoist.core.resource import Limits
+from medlarhoist.node.proxy.server import FindLimits, Serve, ServerConnection
+
+BACKLOG: Final = 1024
+
+
+def default_limits() -> Limits:
+    """Return the limits that apply if nothing is configured."""
+    return DEFAULT_LIMITS
+
+
+class Listener:
+    """A listening address and the connections accepted on it.
+
+    Args:
+        connections: the open connections.
+        is_draining: whether connections close after their current request.
+        malformed_requests: number of malformed or too large requests.
+        find_limits: returns the limits in force for received requests.
+        port: port that it listens on, zero before the start.
+    """
+
+    __slots__ = (
+        '_serve',
+        '_server',
+        '_sock',
+        'connections',
+        'malformed_requests',
+        'find_limits',
+        'is_draining',
+        'port',
+    )
+
+    def __init__(
+        self,
+        serve: Serve,
+        find_limits: FindLimits = default_limits,
+    ) -> None:
+        """Create a listener; start makes it listen.
+
+        Args:
+            serve: coroutine function that handles each request.
+            find_limits: returns the limits in force for received requests.
+        """
+        self._serve = serve
+        self.find_limits = find_limits
+        self._server: asyncio.Server | None = None
+        self._sock: socket.socket | None = None
+        self.connections: set[ServerConnection] = set()
+        self.is_draining = False
+        self.malformed_requests = 0
+        self.port = 0
+
+    async def start(self, address: str) -> None:
+        """Listen on an address.
+
+        Args:
+            address: host:port; port zero selects a free one.
+
+        Raises:
+            OSError: the address is not available for listening.
+        """
+        host, _, port = address.rpartition(':')
+        self._sock = socket.create_server((host, int(port)), backlog=BACKLOG)
+        self._sock.setblocking(False)
+        self.port = int(self._sock.getsockname()[1])
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._accept,
+            sock=self._sock,
+            backlog=BACKLOG,
+        )
+
+    async def close(self) -> None:
+        """Stop listening, after accepting the connections in the backlog.
+
+        The system would reset these, together with requests that their
+        callers have sent already.
+        """
+        if self._server is None or self._sock is None:
+            return
+        accepted = _accept_all(self._sock)
+        self._server.close()
+        loop = asyncio.get_running_loop()
+        for sock in accepted:
+            await loop.connect_accepted_socket(self._accept, sock)
+
+    def sweep(self, now: float) -> None:
+        """Close connections that passed their head or idle timeout.
+
+        Args:
+            now: seconds of the monotonic clock.
+        """
+        for conn in tuple(self.connections):
+            conn.sweep(now)
+
+    def close_idle(self) -> None:
+        """Close the connections without a request in progress."""
+        for conn in tuple(self.connections):
+            conn.close_if_idle()
+
+    def reset(self) -> None:
+        """Close all connections at once with TCP resets."""
+        for conn in tuple(self.connections):
+            conn.reset()
+
+    def _accept(self) -> ServerConnection:
+        return ServerConnection(self, self._serve)
+
+
+def _accept_all(listening: socket.socket) -> list[socket.socket]:
+    accepted: list[socket.socket] = []
+    while True:
+        try:
+            sock, _ = listening.accept()
+        except OSError:
+            return accepted
+        sock.setblocking(False)
+        accepted.append(sock)
--- a/medlarhoist/node/proxy/proxy.py
+++ b/medlarhoist/node/proxy/proxy.py
@@ -22,11 +22,11 @@
     EntryService,
     ProxyParts,
 )
+from medlarhoist.node.proxy.listener import Listener
 from medlarhoist.node.proxy.local import LocalTarget
 from medlarhoist.node.proxy.observer import Observer
 from medlarhoist.node.proxy.peer import PeerService
 from medlarhoist.node.proxy.remote import RemoteNodes
-from medlarhoist.node.proxy.server import Listener
 from medlarhoist.node.proxy.target_selector import TargetSelector
 
 SWEEP_INTERVAL_S: Final = 1.0
