Send a long body to a target's node only when its target has a slot

Cause: an entry node began to send a body with the head. A node that refused the attempt had consumed it, and a body over 64 KiB cannot be sent again, so callers were refused while other targets were free.

Now a body that is still arriving is announced (Expect: 100-continue); the target's node asks for it at its first read, which is after the slot and the connection to the target. Callers that wait for 100 Continue are asked only then, too.

Ruled out: keeping more of a body for another attempt (memory grows with each upload in progress); a query for room before each attempt (a message more for small bodies as well).

--- a/bench/calls_static.py
+++ b/bench/calls_static.py
@@ -8,7 +8,7 @@
 from collections import Counter
 
 from medlarhoist.core.compile import Compiled
-from medlarhoist.core.resource import Route, Service
+from medlarhoist.core.resource import Limits, Route, Service
 from medlarhoist.core.settings import NodeSettings
 from medlarhoist.core.snapshot import Share, Snapshot
 from medlarhoist.core.target import Target, TargetPhase
@@ -104,7 +104,11 @@
         self.counts[(label, 'refused' if refused else ending)] += 1
 
 
-def compile_sample(*, share: Share | None = None) -> Compiled:
+def compile_sample(
+    *,
+    share: Share | None = None,
+    limits: Limits | None = None,
+) -> Compiled:
     """Return a configuration with one service.
 
     Calls of route `/` are not idempotent, those of `/sights` are, and `/short`
@@ -112,6 +116,7 @@
 
     Args:
         share: share of a new version; None for no rollout.
+        limits: limits of callers' requests; None for the default.
     """
     routes = (
         Route(
@@ -139,6 +144,7 @@
         services=(Service(name=SERVICE, current=LABEL),),
         routes=routes,
         shares=(share,) if share else (),
+        limits=(limits,) if limits else (),
     )
     return Compiled(snapshot, '')
 
--- a/medlarhoist/node/proxy/attempt.py
+++ b/medlarhoist/node/proxy/attempt.py
@@ -152,6 +152,8 @@
         body: the body, shared by all attempts of the call.
         progress: updated before the first byte is sent.
         is_idempotent: whether the request may run twice.
+        waits_to_send: whether a body that is still arriving is sent only when
+            the receiver has asked for it (100 Continue).
     """
 
     method: bytes
@@ -161,3 +163,4 @@
     body: ReplayableBody
     progress: Progress
     is_idempotent: bool
+    waits_to_send: bool = False
--- a/medlarhoist/node/proxy/body.py
+++ b/medlarhoist/node/proxy/body.py
@@ -27,6 +27,8 @@
     Args:
         buffered_bytes: bytes received and not yet read.
         ended: whether no more bytes will be added, also after a failure.
+        ask_sender: called once if bytes are wanted before any has come, for a
+            sender that waits to be asked; None for one that does not.
     """
 
     __slots__ = (
@@ -34,6 +36,7 @@
         '_fault',
         '_set_reading',
         '_waiter',
+        'ask_sender',
         'buffered_bytes',
         'ended',
     )
@@ -49,6 +52,7 @@
         self._fault: Exception | None = None
         self._set_reading = set_reading
         self._waiter: asyncio.Future[None] | None = None
+        self.ask_sender: Callable[[], None] | None = None
         self.buffered_bytes = 0
         self.ended = False
 
@@ -59,6 +63,7 @@
 
     def feed(self, piece: bytes) -> None:
         """Add received bytes."""
+        self.ask_sender = None
         self._chunks.append(piece)
         self.buffered_bytes += len(piece)
         if self.buffered_bytes > HIGH_WATER_BYTES:
@@ -89,6 +94,9 @@
             BodyTooLarge: the body is longer than its limit.
         """
         while not self._chunks and not self.ended:
+            if self.ask_sender is not None:
+                self.ask_sender()
+                self.ask_sender = None
             waiter = asyncio.get_running_loop().create_future()
             self._waiter = waiter
             await waiter
--- a/medlarhoist/node/proxy/client.py
+++ b/medlarhoist/node/proxy/client.py
@@ -12,6 +12,7 @@
 from typing import Any, Final, Protocol
 
 from medlarhoist.core.head_check import RESPONSE_LIMIT_BYTES, Framing, HeadFault
+from medlarhoist.core.headers import Header
 from medlarhoist.node.proxy.attempt import Request
 from medlarhoist.node.proxy.body import Body, IncompleteBody
 from medlarhoist.node.proxy.head import (
@@ -23,6 +24,8 @@
 from medlarhoist.node.proxy.reader import Head, MessageReader, Phase
 
 _INFORMATIONAL: Final = range(100, 200)
+_CONTINUE_STATUS: Final = 100
+_EXPECT_CONTINUE: Final = (b'expect', b'100-continue')
 _NO_BODY_STATUS: Final = frozenset((204, 304))
 
 
@@ -121,6 +124,7 @@
     """
 
     __slots__ = (
+        '_asked',
         '_is_request_sent',
         '_method',
         '_pool',
@@ -147,6 +151,8 @@
         self._writable: asyncio.Future[None] | None = None
         self._response: Response | None = None
         self._send_task: asyncio.Task[None] | None = None
+        # Set while a request waits until the receiver asks for its body.
+        self._asked: asyncio.Future[None] | None = None
         self._method = b''
         self._is_request_sent = False
         self.idle_since = float()
@@ -210,6 +216,8 @@
     def on_head(self, head: Head) -> bool:
         """Handle the head of a response; return whether a body follows."""
         if head.status in _INFORMATIONAL:
+            if head.status == _CONTINUE_STATUS:
+                self._resume_sending()
             return False
         response = Response(self, head)
         self._response = response
@@ -249,18 +257,13 @@
         self._is_request_sent = False
         self._method = request.method
         self._reader.resume()
-        head = write_request_head(
-            request.method,
-            request.url,
-            request.headers,
-            request.framing,
-        )
         if request.body.is_whole:
-            await self._send_at_once(head, request)
+            await self._send_at_once(request)
         else:
-            self._send_task = loop.create_task(
-                self._send_streamed(head, request)
-            )
+            self._asked = loop.create_future()
+            if not request.waits_to_send:
+                self._resume_sending()
+            self._send_task = loop.create_task(self._send_streamed(request))
         return await self._waiter
 
     def set_reading(self, is_on: bool) -> None:
@@ -326,8 +329,12 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(response)
 
-    async def _send_at_once(self, head: bytes, request: Request) -> None:
-        parts = [head]
+    def _resume_sending(self) -> None:
+        if self._asked is not None and not self._asked.done():
+            self._asked.set_result(None)
+
+    async def _send_at_once(self, request: Request) -> None:
+        parts = [_write_head(request, request.headers)]
         position = 0
         while True:
             piece = await request.body.read(position)
@@ -339,9 +346,14 @@
         self._is_request_sent = True
         self._transport.write(b''.join(parts))
 
-    async def _send_streamed(self, head: bytes, request: Request) -> None:
+    async def _send_streamed(self, request: Request) -> None:
+        headers = request.headers
+        if request.waits_to_send:
+            headers = [*headers, _EXPECT_CONTINUE]
         request.progress.sent = True
-        self._transport.write(head)
+        self._transport.write(_write_head(request, headers))
+        if self._asked is not None:
+            await self._asked
         position = 0
         try:
             while not self._is_request_sent:
@@ -355,6 +367,15 @@
             self._transport.abort()
 
 
+def _write_head(request: Request, headers: list[Header]) -> bytes:
+    return write_request_head(
+        request.method,
+        request.url,
+        headers,
+        request.framing,
+    )
+
+
 def _allows_reuse(response: Response) -> bool:
     head = response.head
     ends_connection = head.framing.until_close or not head.keep_alive
--- a/medlarhoist/node/proxy/remote.py
+++ b/medlarhoist/node/proxy/remote.py
@@ -87,6 +87,9 @@
     ) -> Response | Failure:
         """Send an attempt to the node of its target.
 
+        The node asks for a long body once the target has a slot. A refused
+        attempt has then consumed none of it, and another target can be tried.
+
         Args:
             address: host:port of the node's peer listener.
             request: what is sent.
@@ -101,7 +104,7 @@
             pool = ConnectionPool(address)
             self._pools[address] = pool
         headers = [*request.headers, *self._format_call_headers(call)]
-        sent = structs.replace(request, headers=headers)
+        sent = structs.replace(request, headers=headers, waits_to_send=True)
         outcome = await send_request(pool, sent)
         if isinstance(outcome, Failure):
             return structs.replace(outcome, is_unreachable=True)
--- a/medlarhoist/node/proxy/server.py
+++ b/medlarhoist/node/proxy/server.py
@@ -140,7 +140,7 @@
         """Start a task that serves the request; its body may follow."""
         self._exchange = Exchange(self, head)
         if any(name == b'expect' for name, _ in head.headers):
-            self._transport.write(_CONTINUE)
+            self._exchange.body.ask_sender = self._ask_for_body
         loop = asyncio.get_running_loop()
         self._task = loop.create_task(self._run(self._exchange))
         return True
@@ -250,6 +250,11 @@
         elif elapsed_ms > limits.idle_timeout_ms:
             self._transport.close()
 
+    def _ask_for_body(self) -> None:
+        """Send 100 Continue, unless the response has begun."""
+        if self._exchange is not None and not self._exchange.started:
+            self._transport.write(_CONTINUE)
+
     def _refuse(self, fault: HeadFault) -> None:
         content = fault.reason.encode()
         phrase = REASON_PHRASES[fault.status]
