Do not count a caller's slow upload against the target

Cause: the time until a caller had sent its body counted as the target's latency, and a caller that left or let its deadline pass in the middle of its own body counted as a failure of the target and its version. Five of them eject a target; a few roll a version back.

A failure is evidence now only if the caller's part has been sent on, or waits in the node because the target reads nothing. Latency counts from the end of the body.

--- a/medlarhoist/node/proxy/attempt.py
+++ b/medlarhoist/node/proxy/attempt.py
@@ -111,6 +111,19 @@
         """Return whether the rest of the body has been received."""
         return self._body.is_whole
 
+    @property
+    def is_awaited(self) -> bool:
+        """Return whether everything received has been read and more is due."""
+        return self._body.is_awaited
+
+    @property
+    def ended_at(self) -> float:
+        """Return when its last byte was received; zero before that.
+
+        Seconds of the monotonic clock.
+        """
+        return self._body.ended_at
+
     async def read(self, position: int) -> bytes:
         """Return one piece of the body, or b'' at its end.
 
--- a/medlarhoist/node/proxy/body.py
+++ b/medlarhoist/node/proxy/body.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import time
 from collections import deque
 from collections.abc import Callable
 from typing import Final
@@ -27,6 +28,8 @@
     Args:
         buffered_bytes: bytes received and not yet read.
         ended: whether no more bytes will be added, also after a failure.
+        ended_at: when the last byte was received, seconds of the monotonic
+            clock; zero before that.
         ask_sender: called once if bytes are wanted before any has come, for a
             sender that waits to be asked; None for one that does not.
     """
@@ -39,6 +42,7 @@
         'ask_sender',
         'buffered_bytes',
         'ended',
+        'ended_at',
     )
 
     def __init__(self, set_reading: SetReading) -> None:
@@ -55,12 +59,22 @@
         self.ask_sender: Callable[[], None] | None = None
         self.buffered_bytes = 0
         self.ended = False
+        self.ended_at = float()
 
     @property
     def is_whole(self) -> bool:
         """Return whether the body has been received completely."""
         return self.ended and self._fault is None
 
+    @property
+    def is_awaited(self) -> bool:
+        """Return whether everything received has been read and more is due.
+
+        True as well if the sender has failed to send the rest.
+        """
+        is_read = not self.buffered_bytes and self.ask_sender is None
+        return is_read and not self.is_whole
+
     def feed(self, piece: bytes) -> None:
         """Add received bytes."""
         self.ask_sender = None
@@ -73,6 +87,7 @@
     def end(self) -> None:
         """Mark the body as complete."""
         self.ended = True
+        self.ended_at = time.monotonic()
         self._wake()
 
     def fail(self, fault: Exception) -> None:
--- a/medlarhoist/node/proxy/call.py
+++ b/medlarhoist/node/proxy/call.py
@@ -155,6 +155,25 @@
             attempts=self.route.attempts,
         )
 
+    def processing_s(self, since: float, ended_at: float) -> float:
+        """Return the duration of a call without waiting for its caller.
+
+        The time that the caller takes to send its body is not the target's.
+
+        Args:
+            since: start of the call or an attempt, seconds of the monotonic
+                clock.
+            ended_at: end of the response, same clock.
+
+        Returns:
+            Seconds from the end of the body, or from `since` if the body
+            ended before it or after the response.
+        """
+        sent_at = self.body.ended_at
+        if since < sent_at < ended_at:
+            return ended_at - sent_at
+        return ended_at - since
+
     def count_arrival(self, failure: Failure) -> None:
         """Count a failed attempt if it reached a target, or may have.
 
--- a/medlarhoist/node/proxy/client.py
+++ b/medlarhoist/node/proxy/client.py
@@ -7,7 +7,6 @@
 import asyncio
 import select
 import socket
-import time
 from collections.abc import Callable
 from typing import Any, Final, Protocol
 
@@ -51,11 +50,9 @@
     Args:
         head: head of the response.
         body: body of the response.
-        ended_at: when its last byte was received, seconds of the monotonic
-            clock; zero until then.
     """
 
-    __slots__ = ('_conn', '_on_finished', 'body', 'ended_at', 'head')
+    __slots__ = ('_conn', '_on_finished', 'body', 'head')
 
     def __init__(self, conn: 'ClientConnection', head: Head) -> None:
         """Create a response whose body has not been received.
@@ -67,12 +64,10 @@
         self._conn = conn
         self._on_finished: Callable[[bool], None] | None = None
         self.head = head
-        self.ended_at = float()
         self.body = Body(conn.set_reading)
 
     def end(self) -> None:
         """Handle the end of the body."""
-        self.ended_at = time.monotonic()
         self.body.end()
         self._notify_finished()
 
--- a/medlarhoist/node/proxy/entry.py
+++ b/medlarhoist/node/proxy/entry.py
@@ -366,7 +366,10 @@
             call, response, is_complete=is_whole
         )
         if is_whole:
-            took_s = response.ended_at - call.attempt_started
+            took_s = call.processing_s(
+                call.attempt_started,
+                response.body.ended_at,
+            )
             size = response.head.framing.length
             self._route_averages.record(call.route.name, took_s, size)
         outcome = 'answered' if is_whole else 'cut'
--- a/medlarhoist/node/proxy/observer.py
+++ b/medlarhoist/node/proxy/observer.py
@@ -67,11 +67,14 @@
         if status == GATEWAY_TIMEOUT_STATUS and not self._had_fair_wait(call):
             return
         is_success = is_complete and status < SERVER_FAULT_STATUS
+        took_s = call.processing_s(
+            call.started,
+            response.body.ended_at or time.monotonic(),
+        )
         if is_success:
-            view.record_success(response.ended_at - call.started)
+            view.record_success(took_s)
         else:
             view.record_failure(time.monotonic())
-        took_s = (response.ended_at or time.monotonic()) - call.started
         self._record(call, took_s, succeeded=is_success, refused=False)
 
     def _record_load(self, view: TargetView, response: Response) -> None:
@@ -106,7 +109,9 @@
 
     def record_timeout(self, call: Call) -> None:
         """Record an attempt that was ended by the call's deadline."""
-        if call.target is not None and self._had_fair_wait(call):
+        if call.target is None or call.body.is_awaited:
+            return
+        if self._had_fair_wait(call):
             self._find_view(call).record_failure(time.monotonic())
 
     def record_disconnect(self, call: Call) -> None:
@@ -114,7 +119,10 @@
 
         After MIN_HANG_S it counts as a failed call. Otherwise a version that
         hangs would leave no evidence, as callers give up before the deadline.
+        A caller that has not sent its whole body says nothing of the target.
         """
+        if call.body.is_awaited:
+            return
         waited_s = time.monotonic() - call.started
         if call.request.progress.sent and waited_s >= MIN_HANG_S:
             self._find_view(call).record_failure(time.monotonic())
@@ -134,10 +142,10 @@
     def _is_evidence(self, call: Call, failure: Failure) -> bool:
         """Return whether a failure counts against the target or the version.
 
-        It does not if the request body was faulty, or if the deadline passed
-        before a fair wait.
+        It does not if the request body was faulty or incomplete, or if the
+        deadline passed before a fair wait.
         """
-        if call.body.fault is not None:
+        if call.body.fault is not None or call.body.is_awaited:
             return False
         return failure.status != GATEWAY_TIMEOUT_STATUS or self._had_fair_wait(
             call
--- a/medlarhoist/node/proxy/upload_test.py
+++ b/medlarhoist/node/proxy/upload_test.py
@@ -10,6 +10,7 @@
 import pytest
 
 from bench.calls_mesh import format_request_head
+from bench.calls_static import compile_sample
 
 BODY = bytes(300_000)
 PIECE_BYTES = 20_000
@@ -53,6 +54,11 @@
     return int(status), head.lower()
 
 
+def _view_of_target(mesh):
+    """Return what the entry node knows of the only target."""
+    return next(iter(mesh.nodes[0].dump().targets.values()))
+
+
 def _length(body):
     return (f'Content-Length: {len(body)}',)
 
@@ -171,6 +177,52 @@
     assert dump.slots_used == 0
 
 
+@pytest.mark.parametrize('ending', ['leaves', 'waits'])
+def test_a_slow_sender_does_not_count_against_the_target(
+    run_mesh, serve_upload, ending
+):
+    """Neither at the deadline nor when the caller leaves."""
+    compiled = compile_sample()
+
+    async def scenario(mesh):
+        await mesh.add(registered=False)
+        await mesh.add(port=await serve_upload())
+        path = '/short' if ending == 'waits' else '/'
+        for _ in range(5):
+            await mesh.post(body=b'quick')
+        mesh.recorder.counts.clear()
+        reader, writer = await _open(mesh, _length(BODY), path)
+        writer.write(BODY[:PIECE_BYTES])
+        if ending == 'waits':
+            status, _ = await _read_response(reader)
+            assert status == 504
+        else:
+            await asyncio.sleep(1.2)
+        writer.transport.abort()
+        await asyncio.sleep(0.1)
+        return _view_of_target(mesh).failures, mesh.recorder.counts
+
+    failures, counts = run_mesh(scenario, compiled)
+    assert failures == 0
+    assert not counts
+
+
+def test_the_time_of_sending_is_no_latency_of_the_target(
+    run_mesh, serve_upload
+):
+    async def scenario(mesh):
+        await mesh.add(registered=False)
+        await mesh.add(port=await serve_upload())
+        reader, writer = await _open(mesh, _length(BODY))
+        writer.write(BODY[:PIECE_BYTES])
+        await asyncio.sleep(0.6)
+        writer.write(BODY[PIECE_BYTES:])
+        await _read_response(reader)
+        return _view_of_target(mesh).latency_us
+
+    assert run_mesh(scenario) < 300_000
+
+
 @pytest.mark.parametrize('sent', [0, PIECE_BYTES, len(BODY) - 1])
 def test_a_cut_upload_may_have_run(run_mesh, serve_raw, sent):
     """A target may work on a request before the end of its body."""
