--- a/medlarhoist/node/proxy/attempt.py
+++ b/medlarhoist/node/proxy/attempt.py
@@ -107,9 +107,10 @@
         self.is_replayable = True
 
     @property
-    def is_whole(self) -> bool:
-        """Return whether the rest of the body has been received."""
-        return self._body.is_whole
+    def is_short(self) -> bool:
+        """Return whether all has been received and could be sent again."""
+        left_bytes = REPLAY_LIMIT_BYTES - self._size
+        return self._body.is_whole and self._body.buffered_bytes <= left_bytes
 
     @property
     def is_awaited(self) -> bool:
@@ -165,8 +166,8 @@
         body: the body, shared by all attempts of the call.
         progress: updated before the first byte is sent.
         is_idempotent: whether the request may run twice.
-        waits_to_send: whether a body that is still arriving is sent only when
-            the receiver has asked for it (100 Continue).
+        waits_to_send: whether a body that is not short is sent only when the
+            receiver has asked for it (100 Continue).
     """
 
     method: bytes
--- a/medlarhoist/node/proxy/client.py
+++ b/medlarhoist/node/proxy/client.py
@@ -252,7 +252,7 @@
         self._is_request_sent = False
         self._method = request.method
         self._reader.resume()
-        if request.body.is_whole:
+        if request.body.is_short:
             await self._send_at_once(request)
         else:
             self._asked = loop.create_future()
