Notice callers that leave while reading from them is paused

Two causes, both on an entry connection with a long body:

- While more of a body waits than a node buffers, reading is paused and the event loop reports no disconnect, so a request that waited for a slot started for a caller that had left.
A paused connection is polled now.
- A connection was closed one second after a response that came before the end of the body, also while the caller still sent.
The system then reset it, and the caller lost the response (early responses, 413).
It is closed once the caller is silent for a second, after ten seconds at most.

Ruled out: reading on without a limit (memory).

--- a/medlarhoist/node/proxy/conftest.py
+++ b/medlarhoist/node/proxy/conftest.py
@@ -6,6 +6,9 @@
 import pytest
 
 from bench.calls_mesh import Mesh
+from bench.calls_raw import read_request
+
+DONE = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone'
 
 
 @pytest.fixture(name='run_mesh')
@@ -50,3 +53,23 @@
         return server.sockets[0].getsockname()[1]
 
     return start
+
+
+@pytest.fixture(name='received')
+def _received():
+    """Return the bodies that the targets of serve_upload have received."""
+    return []
+
+
+@pytest.fixture(name='serve_upload')
+def _serve_upload(serve_raw, received):
+    """Return a function that starts a target, which reads whole bodies."""
+
+    async def respond(reader, writer):
+        while True:
+            _, body = await read_request(reader)
+            received.append(body)
+            writer.write(DONE)
+            await writer.drain()
+
+    return lambda: serve_raw(respond)
--- a/medlarhoist/node/proxy/server.py
+++ b/medlarhoist/node/proxy/server.py
@@ -1,6 +1,7 @@
 """Server: the HTTP/1.x connections that a listener accepts."""
 
 import asyncio
+import select
 import socket
 import struct
 import time
@@ -21,9 +22,15 @@
 from medlarhoist.node.proxy.reader import Head, MessageReader, Phase
 
 CLOSE_LINGER_S: Final = 1.0
+# Callers that send for longer after their response are cut off.
+MAX_CLOSE_LINGER_S: Final = 10.0
+# Well below half a second, after which no request may start for a caller that
+# has left.
+DISCONNECT_CHECK_S: Final = 0.1
 CONNECTION_LIMIT: Final = 4096
 _MS_PER_SECOND: Final = 1000
 _RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
+_DISCONNECTED: Final = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -51,6 +58,7 @@
     """An accepted connection, which serves one request at a time."""
 
     __slots__ = (
+        '_disconnect_check',
         '_exchange',
         '_reader',
         '_serve',
@@ -84,6 +92,8 @@
         self._transport: Any = None
         self._write_buffer: list[bytes] = []
         self._writable: asyncio.Future[None] | None = None
+        # Set while reading is paused, as the loop reports no disconnect then.
+        self._disconnect_check: asyncio.TimerHandle | None = None
         # When the wait for a request, or for the rest of its head, began.
         self._waiting_since = time.monotonic()
 
@@ -172,12 +182,16 @@
 
     def set_reading(self, is_on: bool) -> None:
         """Resume reading from the connection (True) or pause it (False)."""
+        if self._disconnect_check is not None:
+            self._disconnect_check.cancel()
+            self._disconnect_check = None
         if self._transport.is_closing():
             return
         if is_on:
             self._transport.resume_reading()
         else:
             self._transport.pause_reading()
+            self._schedule_disconnect_check()
 
     def will_keep_alive(self, exchange: Exchange) -> bool:
         """Return whether the connection stays open after the response.
@@ -264,8 +278,27 @@
         self._transport.write(head + content)
         self._close_after_response()
 
+    def _schedule_disconnect_check(self) -> None:
+        self._disconnect_check = asyncio.get_running_loop().call_later(
+            DISCONNECT_CHECK_S,
+            self._check_disconnect,
+        )
+
+    def _check_disconnect(self) -> None:
+        """Abort a connection that the remote end closed while it was paused."""
+        self._disconnect_check = None
+        if self._transport.is_closing():
+            return
+        poller = select.poll()
+        sock = self._transport.get_extra_info('socket')
+        poller.register(sock.fileno(), select.POLLRDHUP)
+        if any(events & _DISCONNECTED for _, events in poller.poll(0)):
+            self._transport.abort()
+        else:
+            self._schedule_disconnect_check()
+
     def _close_after_response(self) -> None:
-        """Close for writing now, and completely after CLOSE_LINGER_S.
+        """Close for writing now, and completely once the remote end is silent.
 
         Closing at once would reset the connection if the remote end still
         sends, which might discard the response before it is read.
@@ -280,8 +313,22 @@
             self._transport.abort()
             return
         self.set_reading(True)
-        loop = asyncio.get_running_loop()
-        loop.call_later(CLOSE_LINGER_S, self._transport.close)
+        self._linger(self._waiting_since + MAX_CLOSE_LINGER_S)
+
+    def _linger(self, until: float) -> None:
+        """Close if nothing has arrived for CLOSE_LINGER_S, else wait again.
+
+        Args:
+            until: when the connection is closed even if bytes still arrive,
+                seconds of the monotonic clock.
+        """
+        now = time.monotonic()
+        left_s = min(self._waiting_since + CLOSE_LINGER_S, until) - now
+        if left_s <= 0:
+            self._transport.close()
+        elif not self._transport.is_closing():
+            loop = asyncio.get_running_loop()
+            loop.call_later(left_s, self._linger, until)
 
     def flush(self) -> None:
         """Send the buffered bytes."""
