Close connections of targets that send bytes without end

Cause: a target in trouble may send bytes that are no answer until its caller closes. Heads were bounded, but not informational responses (each one a level of recursion), chunk sizes, chunk extensions, trailers (kept in memory) or a body without a length: callers waited for their deadline, and a caller could do the same to a node with trailers.

Limits: 16 informational responses, the head's limit for bytes of a chunked body without content, 64 MiB for a body without a length. The connection is closed, one warning names address, request and cause, and malformed_responses_total counts it. The failure that the caller's node logs has the cause, too. Response moved into a module of its own.

Ruled out: a time limit, as slow answers are answers.

--- a/medlarhoist/node/metrics.py
+++ b/medlarhoist/node/metrics.py
@@ -49,6 +49,11 @@
     doc='Answers that did not belong to their request.',
     family=Family.COUNTER,
 )
+MALFORMED_RESPONSES: Final = Metric(
+    name='malformed_responses_total',
+    doc='Answers of targets and nodes that were no HTTP, or went on too long.',
+    family=Family.COUNTER,
+)
 SLOTS: Final = Metric(name='slots', doc='Slots of the target of this VM.')
 SLOTS_USED: Final = Metric(name='slots_used', doc='Slots in use.')
 CALLS_WAITING: Final = Metric(
@@ -81,6 +86,7 @@
     CALL_RETRIES,
     MALFORMED_REQUESTS,
     MISMATCHED_RESPONSES,
+    MALFORMED_RESPONSES,
     SLOTS,
     SLOTS_USED,
     CALLS_WAITING,
@@ -134,6 +140,7 @@
         (CALL_RETRIES, proxy.retries),
         (MALFORMED_REQUESTS, proxy.malformed),
         (MISMATCHED_RESPONSES, proxy.crossed),
+        (MALFORMED_RESPONSES, proxy.malformed_responses),
         (SLOTS, proxy.slots),
         (SLOTS_USED, proxy.slots_used),
         (CALLS_WAITING, proxy.waiting),
--- a/medlarhoist/node/metrics_test.py
+++ b/medlarhoist/node/metrics_test.py
@@ -50,6 +50,7 @@
     malformed=0,
     retries=6,
     crossed=0,
+    malformed_responses=0,
     slots=20,
     slots_used=3,
     slots_peak=9,
--- a/medlarhoist/node/proxy/attempt.py
+++ b/medlarhoist/node/proxy/attempt.py
@@ -168,6 +168,7 @@
         is_idempotent: whether the request may run twice.
         waits_to_send: whether a body that is not short is sent only when the
             receiver has asked for it (100 Continue).
+        caller_id: the caller's id of the request for log lines, may be empty.
     """
 
     method: bytes
@@ -178,3 +179,4 @@
     progress: Progress
     is_idempotent: bool
     waits_to_send: bool = False
+    caller_id: str = ''
--- a/medlarhoist/node/proxy/call_log.py
+++ b/medlarhoist/node/proxy/call_log.py
@@ -95,5 +95,21 @@
     ).info('target: refused a call')
 
 
+def log_malformed_response(caller_id: str, address: str, reason: str) -> None:
+    """Log that a connection was closed for bytes that are no response.
+
+    Args:
+        caller_id: the caller's id of the request, empty if the connection had
+            no request.
+        address: host:port that sent them.
+        reason: what is wrong with them.
+    """
+    logger.bind(
+        request=caller_id,
+        address=address,
+        reason=reason,
+    ).warning('calls: closed a connection after a malformed response')
+
+
 def _to_ms(seconds: float) -> int:
     return round(seconds * _MS_PER_SECOND)
--- a/medlarhoist/node/proxy/client.py
+++ b/medlarhoist/node/proxy/client.py
@@ -7,13 +7,12 @@
 import asyncio
 import select
 import socket
-from collections.abc import Callable
 from typing import Any, Final, Protocol
 
 from medlarhoist.core.head_check import RESPONSE_LIMIT_BYTES, Framing, HeadFault
 from medlarhoist.core.headers import Header
 from medlarhoist.node.proxy.attempt import Request
-from medlarhoist.node.proxy.body import Body, IncompleteBody
+from medlarhoist.node.proxy.body import IncompleteBody
 from medlarhoist.node.proxy.head import (
     LAST_CHUNK,
     parse_response_head,
@@ -21,8 +20,11 @@
     write_request_head,
 )
 from medlarhoist.node.proxy.reader import Head, MessageReader, Phase
+from medlarhoist.node.proxy.response import Response
 
 _INFORMATIONAL: Final = range(100, 200)
+# Informational responses before one response; more are a fault of the sender.
+INFORMATIONAL_LIMIT: Final = 16
 _CONTINUE_STATUS: Final = 100
 _EXPECT_CONTINUE: Final = (b'expect', b'100-continue')
 _NO_BODY_STATUS: Final = frozenset((204, 304))
@@ -43,83 +45,29 @@
     def remove(self, conn: 'ClientConnection') -> None:
         """Remove a closed or aborted connection."""
 
-
-class Response:
-    """The head of a response and its body, which may still be arriving.
-
-    Args:
-        head: head of the response.
-        body: body of the response.
-    """
-
-    __slots__ = ('_conn', '_on_finished', 'body', 'head')
-
-    def __init__(self, conn: 'ClientConnection', head: Head) -> None:
-        """Create a response whose body has not been received.
-
-        Args:
-            conn: the connection that it is received on.
-            head: its head.
-        """
-        self._conn = conn
-        self._on_finished: Callable[[bool], None] | None = None
-        self.head = head
-        self.body = Body(conn.set_reading)
-
-    def end(self) -> None:
-        """Handle the end of the body."""
-        self.body.end()
-        self._notify_finished()
-
-    def fail(self, fault: Exception) -> None:
-        """Handle a failure before the end of the body.
-
-        Args:
-            fault: the exception that is raised to readers of the body.
-        """
-        self.body.fail(fault)
-        self._notify_finished()
-
-    def close(self) -> None:
-        """Return the connection to its pool, or abort it if it is unfinished.
-
-        The receiver of a response must call this, also without reading it.
-        """
-        self._conn.release()
-        self.fail(IncompleteBody())
-
-    def discard(self) -> None:
-        """Abort the connection, as the response is for another request."""
-        self._conn.abort()
-        self.fail(IncompleteBody())
-
-    def on_finished(self, callback: Callable[[bool], None]) -> None:
-        """Set a function to call once when the response has ended or failed.
+    def report_malformed(self, caller_id: str, reason: str) -> None:
+        """Report bytes that are no response, or are in excess of one.
 
         Args:
-            callback: called with whether the response is complete, at once if
-                it has ended already.
+            caller_id: the caller's id of the request, empty on a connection
+                without a request.
+            reason: what is wrong with them.
         """
-        self._on_finished = callback
-        if self.body.ended:
-            self._notify_finished()
-
-    def _notify_finished(self) -> None:
-        if self._on_finished is not None:
-            self._on_finished(self.body.is_whole)
-            self._on_finished = None
 
 
 class ClientConnection(asyncio.Protocol):  # noqa: WPS214  a protocol
     """A connection that this node opened.
 
     Args:
+        fault: why the response is malformed, empty if it is not.
         idle_since: when it was last put into its pool, seconds of the
             monotonic clock.
     """
 
     __slots__ = (
         '_asked',
+        '_caller_id',
+        '_informational',
         '_is_request_sent',
         '_method',
         '_pool',
@@ -129,6 +77,7 @@
         '_transport',
         '_waiter',
         '_writable',
+        'fault',
         'idle_since',
     )
 
@@ -149,7 +98,10 @@
         # Set while a request waits until the receiver asks for its body.
         self._asked: asyncio.Future[None] | None = None
         self._method = b''
+        self._caller_id = ''
+        self._informational = 0
         self._is_request_sent = False
+        self.fault = ''
         self.idle_since = float()
 
     @property
@@ -184,12 +136,14 @@
         Bytes outside a response would be read as the response to the next
         request.
         """
-        if self._reader.phase is Phase.PAUSED:
-            self.abort()
-            return
-        self._reader.feed(received)
-        if self._reader.phase is Phase.PAUSED and self._reader.has_bytes:
-            self.abort()
+        if self._reader.phase is not Phase.PAUSED:
+            self._reader.feed(received)
+            if self._reader.phase is not Phase.PAUSED:
+                return
+            if not self._reader.has_bytes:
+                return
+        self._pool.report_malformed(self._caller_id, 'bytes after a response')
+        self.abort()
 
     def eof_received(self) -> bool:
         """End a response that lasts until the connection closes, and close."""
@@ -211,8 +165,7 @@
     def on_head(self, head: Head) -> bool:
         """Handle the head of a response; return whether a body follows."""
         if head.status in _INFORMATIONAL:
-            if head.status == _CONTINUE_STATUS:
-                self._resume_sending()
+            self._handle_informational(head.status)
             return False
         response = Response(self, head)
         self._response = response
@@ -234,6 +187,8 @@
 
     def on_fault(self, fault: HeadFault) -> None:
         """Abort the connection, as the response is malformed."""
+        self.fault = fault.reason
+        self._pool.report_malformed(self._caller_id, fault.reason)
         self.abort()
 
     # Called by attempts.
@@ -251,6 +206,8 @@
         self._response = None
         self._is_request_sent = False
         self._method = request.method
+        self._caller_id = request.caller_id
+        self._informational = 0
         self._reader.resume()
         if request.body.is_short:
             await self._send_at_once(request)
@@ -283,6 +240,7 @@
             return
         self._response = None
         self._waiter = None
+        self._caller_id = ''
         self._transport.resume_reading()
         self._pool.add_idle(self)
 
@@ -324,6 +282,14 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(response)
 
+    def _handle_informational(self, status: int) -> None:
+        self._informational += 1
+        if self._informational > INFORMATIONAL_LIMIT:
+            fault = HeadFault(502, 'too many informational responses')
+            self._reader.fail(fault)
+        elif status == _CONTINUE_STATUS:
+            self._resume_sending()
+
     def _resume_sending(self) -> None:
         if self._asked is not None and not self._asked.done():
             self._asked.set_result(None)
--- a/medlarhoist/node/proxy/entry.py
+++ b/medlarhoist/node/proxy/entry.py
@@ -33,12 +33,12 @@
     log_failed_attempt,
     log_unrouted,
 )
-from medlarhoist.node.proxy.client import Response
 from medlarhoist.node.proxy.exchange import Exchange
 from medlarhoist.node.proxy.local import ForwardedCall, LocalTarget
 from medlarhoist.node.proxy.observer import Observer
 from medlarhoist.node.proxy.relay import refuse, relay
 from medlarhoist.node.proxy.remote import RemoteNodes
+from medlarhoist.node.proxy.response import Response
 from medlarhoist.node.proxy.target_selector import TargetSelector
 
 # Targets that one call is sent to, including those that refuse it.
--- a/medlarhoist/node/proxy/local.py
+++ b/medlarhoist/node/proxy/local.py
@@ -30,8 +30,8 @@
 from medlarhoist.core.verdict import SERVER_FAULT_STATUS, Verdict
 from medlarhoist.node.proxy.attempt import Failure, Request
 from medlarhoist.node.proxy.call_log import log_refusal
-from medlarhoist.node.proxy.client import Response
 from medlarhoist.node.proxy.pool import ConnectionPool, send_request
+from medlarhoist.node.proxy.response import Response
 from medlarhoist.node.proxy.slots import Slots
 
 _FindService = Callable[[str], Service | None]
@@ -65,6 +65,7 @@
 
     Args:
         mismatched: responses that did not belong to their request.
+        malformed: responses that were no HTTP, or had bytes after their end.
         refused: calls that this node refused without sending them.
     """
 
@@ -77,6 +78,7 @@
         '_rng',
         '_running',
         '_slots',
+        'malformed',
         'mismatched',
         'refused',
     )
@@ -97,12 +99,13 @@
         self._rng = Random()  # noqa: S311  spreads retries only
         self._find_service = find_service
         self._notice: TargetNotice | None = None
-        self._pool = ConnectionPool('')
+        self._pool = ConnectionPool('', self._count_malformed)
         self._running: set[str] = set()
         self._slots = Slots(self._count_slots)
         self._is_draining = False
         self.refused = 0
         self.mismatched = 0
+        self.malformed = 0
 
     @property
     def load(self) -> Load:
@@ -139,7 +142,10 @@
             return
         if before is None or not is_same_run(before, notice):
             self._pool.close_idle()
-            self._pool = ConnectionPool(notice.address)
+            self._pool = ConnectionPool(
+                notice.address,
+                self._count_malformed,
+            )
 
     def start_draining(self) -> None:
         """Refuse waiting and new calls, as this node is about to stop."""
@@ -174,7 +180,10 @@
                 return_s=retry_after_seconds(load, self._rng),
             )
         started = time.monotonic()
-        sent = self._add_headers(request, call)
+        sent = structs.replace(
+            self._add_headers(request, call),
+            caller_id=caller_id,
+        )
         self._running.add(caller_id)
         try:
             outcome = await send_request(self._pool, sent)
@@ -212,6 +221,9 @@
         self._slots.refuse_waiters()
         self._pool.close()
 
+    def _count_malformed(self) -> None:
+        self.malformed += 1
+
     def _count_slots(self) -> int:
         """Return the number of the target's slots, zero without a target.
 
--- a/medlarhoist/node/proxy/observer.py
+++ b/medlarhoist/node/proxy/observer.py
@@ -15,7 +15,7 @@
 from medlarhoist.core.verdict import SERVER_FAULT_STATUS, Verdict
 from medlarhoist.node.proxy.attempt import Failure
 from medlarhoist.node.proxy.call import Call
-from medlarhoist.node.proxy.client import Response
+from medlarhoist.node.proxy.response import Response
 from medlarhoist.node.proxy.target_selector import TargetSelector
 
 MIN_HANG_S: Final = 1.0
--- a/medlarhoist/node/proxy/pool.py
+++ b/medlarhoist/node/proxy/pool.py
@@ -3,11 +3,14 @@
 import asyncio
 import time
 from collections import deque
+from collections.abc import Callable
 from typing import Final
 
 from medlarhoist.core.verdict import Verdict
 from medlarhoist.node.proxy.attempt import Failure, Request
-from medlarhoist.node.proxy.client import ClientConnection, Response
+from medlarhoist.node.proxy.call_log import log_malformed_response
+from medlarhoist.node.proxy.client import ClientConnection
+from medlarhoist.node.proxy.response import Response
 
 # 100 times as long as a connection between failure domains takes. It ends
 # before a lost SYN is retransmitted, which TCP does after one second.
@@ -17,6 +20,7 @@
 USER_TIMEOUT_MS: Final = 600
 MAX_IDLE_S: Final = 4.0
 MAX_FRESH_IDLE_S: Final = 1.0
+CountMalformed = Callable[[], None]
 _NOT_REACHABLE: Final = Failure(
     Verdict.DID_NOT_RUN,
     'not reachable',
@@ -33,14 +37,23 @@
         opened: connections opened so far.
     """
 
-    __slots__ = ('_connections', '_idle', 'address', 'limit', 'opened')
+    __slots__ = (
+        '_connections',
+        '_count_malformed',
+        '_idle',
+        'address',
+        'limit',
+        'opened',
+    )
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, count_malformed: CountMalformed) -> None:
         """Start without connections.
 
         Args:
             address: host:port.
+            count_malformed: called once for each malformed response.
         """
+        self._count_malformed = count_malformed
         self.address = address
         self._idle: deque[ClientConnection] = deque()
         self._connections: set[ClientConnection] = set()
@@ -89,6 +102,11 @@
         if conn in self._idle:
             self._idle.remove(conn)
 
+    def report_malformed(self, caller_id: str, reason: str) -> None:
+        """Count and log bytes that are no response, or in excess of one."""
+        self._count_malformed()
+        log_malformed_response(caller_id, self.address, reason)
+
     def sweep(self, now: float) -> None:
         """Close the connections that have been idle for MAX_IDLE_S.
 
@@ -148,5 +166,8 @@
         raise
     if response is None:
         conn.abort()
-        return Failure(request.progress.verdict, 'connection lost', 502)
+        reason = 'connection lost'
+        if conn.fault:
+            reason = f'malformed response: {conn.fault}'
+        return Failure(request.progress.verdict, reason, 502)
     return response
--- a/medlarhoist/node/proxy/pool_test.py
+++ b/medlarhoist/node/proxy/pool_test.py
@@ -21,7 +21,7 @@
             0,
         )
         port = server.sockets[0].getsockname()[1]
-        conn = await ConnectionPool(f'127.0.0.1:{port}').acquire(
+        conn = await ConnectionPool(f'127.0.0.1:{port}', int).acquire(
             fresh_only=True
         )
         sock = conn._transport.get_extra_info('socket')
@@ -39,7 +39,7 @@
 def test_opening_a_connection_times_out():
     async def scenario():
         started = time.monotonic()
-        conn = await ConnectionPool(address).acquire(fresh_only=True)
+        conn = await ConnectionPool(address, int).acquire(fresh_only=True)
         return conn, time.monotonic() - started
 
     with open_unresponsive_address() as address:
--- a/medlarhoist/node/proxy/proxy.py
+++ b/medlarhoist/node/proxy/proxy.py
@@ -56,6 +56,8 @@
         malformed: requests refused as malformed or too large.
         retries: attempts after the first attempt of a call.
         crossed: responses that did not belong to their request.
+        malformed_responses: responses that were no HTTP, or had bytes after
+            their end.
         slots: slots of the target beside this node.
         slots_used: slots in use.
         slots_peak: highest number of slots ever in use at once.
@@ -72,6 +74,7 @@
     malformed: int
     retries: int
     crossed: int
+    malformed_responses: int
     slots: int
     slots_used: int
     slots_peak: int
@@ -217,6 +220,8 @@
             retries=self._entry_service.retries,
             crossed=self._parts.local.mismatched
             + self._parts.remote.mismatched,
+            malformed_responses=self._parts.local.malformed
+            + self._parts.remote.malformed,
             slots=load.slots,
             slots_used=load.used,
             slots_peak=self._parts.local.peak,
--- a/medlarhoist/node/proxy/reader.py
+++ b/medlarhoist/node/proxy/reader.py
@@ -21,6 +21,8 @@
 from medlarhoist.core.headers import Header
 
 HEAD_END: Final = b'\r\n\r\n'
+# A body without a declared length has no other end if its sender never closes.
+UNDELIMITED_LIMIT_BYTES: Final = 67_108_864
 _TAIL_BYTES: Final = len(HEAD_END) - 1
 
 
@@ -143,6 +145,7 @@
         '_body_limit',
         '_buffer',
         '_callbacks',
+        '_framing_bytes',
         '_handler',
         '_head_limit',
         '_parse_head',
@@ -177,6 +180,8 @@
         self._body_left = 0
         self._scanned = 0
         self._tail = b''
+        # Bytes of a chunked body since the last byte of content.
+        self._framing_bytes = 0
         self._parser: Any = None
         self._callbacks = ParserCallbacks()
         self.phase = phase
@@ -267,6 +272,7 @@
         self._parser = parser
         self._callbacks.headers = []  # what follows are trailers, not headers
         self._body_left = head.framing.length
+        self._framing_bytes = 0
         self._tail = b''
         self.phase = Phase.PAUSED
         has_body = self._handler.on_head(head)
@@ -274,7 +280,7 @@
             return False
         if has_body and head.framing.until_close:
             self.phase = Phase.UNTIL_CLOSE
-            self._body_left = self._body_limit
+            self._body_left = min(self._body_limit, UNDELIMITED_LIMIT_BYTES)
         elif has_body and head.framing.chunked:
             self.phase = Phase.CHUNKED
             self._body_left = self._body_limit
@@ -322,6 +328,13 @@
         except (HttpParserError, HttpParserUpgrade):
             self.fail(HeadFault(400, 'malformed chunk'))
             return False
+        has_content = bool(self._callbacks.body)
+        self._framing_bytes = (
+            0 if has_content else self._framing_bytes + len(raw)
+        )
+        if self._framing_bytes > self._head_limit:
+            self.fail(HeadFault(400, 'chunk size or trailers too large'))
+            return False
         return self._emit_chunks()
 
     def _emit_chunks(self) -> bool:
--- a/medlarhoist/node/proxy/relay.py
+++ b/medlarhoist/node/proxy/relay.py
@@ -15,8 +15,8 @@
 from medlarhoist.core.load_headers import format_load
 from medlarhoist.node.proxy.attempt import Failure
 from medlarhoist.node.proxy.body import BodyTooLarge, IncompleteBody
-from medlarhoist.node.proxy.client import Response
 from medlarhoist.node.proxy.exchange import Exchange
+from medlarhoist.node.proxy.response import Response
 
 
 async def relay(
--- a/medlarhoist/node/proxy/remote.py
+++ b/medlarhoist/node/proxy/remote.py
@@ -26,10 +26,10 @@
 from medlarhoist.core.load_headers import format_requirements, parse_load
 from medlarhoist.core.verdict import Verdict
 from medlarhoist.node.proxy.attempt import Failure, Request
-from medlarhoist.node.proxy.client import Response
 from medlarhoist.node.proxy.local import ForwardedCall
 from medlarhoist.node.proxy.pool import ConnectionPool, send_request
 from medlarhoist.node.proxy.reader import Head
+from medlarhoist.node.proxy.response import Response
 from medlarhoist.wire.auth import make_token
 
 MISMATCHED_RESPONSE: Final = Failure(
@@ -44,6 +44,7 @@
 
     Args:
         mismatched: responses that did not belong to their request.
+        malformed: responses that were no HTTP, or had bytes after their end.
     """
 
     __slots__ = (
@@ -53,6 +54,7 @@
         '_name',
         '_pools',
         '_token',
+        'malformed',
         'mismatched',
     )
 
@@ -78,6 +80,7 @@
         self._pools: dict[str, ConnectionPool] = {}
         self._token = (0, b'')
         self.mismatched = 0
+        self.malformed = 0
 
     async def send(
         self,
@@ -101,7 +104,7 @@
         """
         pool = self._pools.get(address)
         if pool is None:
-            pool = ConnectionPool(address)
+            pool = ConnectionPool(address, self._count_malformed)
             self._pools[address] = pool
         headers = [*request.headers, *self._format_call_headers(call)]
         sent = structs.replace(request, headers=headers, waits_to_send=True)
@@ -135,6 +138,9 @@
         """Return the number of open connections by address."""
         return {address: pool.size for address, pool in self._pools.items()}
 
+    def _count_malformed(self) -> None:
+        self.malformed += 1
+
     def _format_call_headers(self, call: ForwardedCall) -> list[Header]:
         left_ms = left_for_next_hop_ms(call.deadline, time.monotonic())
         return [
