Do not take a receiver that reads slowly for a lost one

Cause: TCP_USER_TIMEOUT (0.6 s) ends a connection also while bytes are unsent for lack of room at the receiver. A target that read nothing of a long body for 0.6 s, or a node that waited for it, cost the upload: 502 and may have run.

Ruled out: a longer limit (any length of a pause may be proper).

Red before: test_a_target_may_pause_while_it_reads_an_upload.

--- a/bench/calls.py
+++ b/bench/calls.py
@@ -94,8 +94,8 @@
             '--work-ms=0',
             '--slots=200',
         )
-        local = self._launch_node('near', f'--target-port={port}')
-        remote = self._launch_node('far', f'--peer={local.peer}')
+        local = self.launch_node('near', f'--target-port={port}')
+        remote = self.launch_node('far', f'--peer={local.peer}')
         self.addresses['direct'] = f'127.0.0.1:{port}'
         self.addresses['one hop'] = local.entry
         self.addresses['two hops'] = remote.entry
@@ -114,7 +114,8 @@
             process.kill()
             process.wait()
 
-    def _launch_node(self, name: str, *options: str) -> NodeStarted:
+    def launch_node(self, name: str, *options: str) -> NodeStarted:
+        """Start a node with options of bench.calls_node; return its addresses."""
         line = self._launch('bench.calls_node', f'--name={name}', *options)
         started = msgspec.json.decode(line, type=NodeStarted)
         self.pids[name] = started.pid
--- a/bench/calls_node.py
+++ b/bench/calls_node.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from bench.calls_static import (
+    DEFAULT_SLOTS,
     LABEL,
     SERVICE,
     CountingRecorder,
@@ -41,10 +42,15 @@
     peer: str
 
 
-async def serve(name: str, target_port: int, peers: list[str]) -> None:
+async def serve(
+    name: str,
+    target_port: int,
+    peers: list[str],
+    slots: int,
+) -> None:
     """Run a node until SIGTERM; see main for the arguments."""
     cfg = create_settings(name, DOMAIN)
-    local_target = create_target(cfg)
+    local_target = create_target(cfg, slots=slots)
     targets: tuple[Target, ...] = (local_target,)
     if peers:
         targets = tuple(
@@ -53,7 +59,7 @@
         )
     proxy = create_proxy(
         cfg,
-        StaticConfiguration(compile_sample()),
+        StaticConfiguration(compile_sample(slots=slots)),
         StaticRegistry(targets),
         CountingRecorder(),
         StaticLimiter(),
@@ -64,7 +70,7 @@
             service=SERVICE,
             label=LABEL,
             port=target_port,
-            slots=20,
+            slots=slots,
             phase=TargetPhase.READY,
         )
         proxy.set_local_target(notice)
@@ -78,6 +84,7 @@
     name: str,
     target_port: int = 0,
     peer: list[str] | None = None,
+    slots: int = DEFAULT_SLOTS,
 ) -> None:
     """Run a node until SIGTERM; print NodeStarted as JSON once it listens.
 
@@ -86,8 +93,9 @@
         target_port: port of the target beside it; zero for none.
         peer: peer addresses of the nodes that it sends calls to; none for its
             own target.
+        slots: slots of the target beside it.
     """
-    asyncio.run(serve(name, target_port, peer or []))
+    asyncio.run(serve(name, target_port, peer or [], slots))
 
 
 if __name__ == '__main__':
--- a/bench/calls_static.py
+++ b/bench/calls_static.py
@@ -16,6 +16,7 @@
 SHARED_KEY = 'a shared key for benches'
 SERVICE = 'bookings'
 LABEL = 'v1'
+DEFAULT_SLOTS = 20
 
 
 class StaticConfiguration:
@@ -108,6 +109,7 @@
     *,
     share: Share | None = None,
     limits: Limits | None = None,
+    slots: int = DEFAULT_SLOTS,
 ) -> Compiled:
     """Return a configuration with one service.
 
@@ -117,6 +119,7 @@
     Args:
         share: share of a new version; None for no rollout.
         limits: limits of callers' requests; None for the default.
+        slots: slots of each target of the service.
     """
     routes = (
         Route(
@@ -141,7 +144,7 @@
     )
     snapshot = Snapshot(
         version=1,
-        services=(Service(name=SERVICE, current=LABEL),),
+        services=(Service(name=SERVICE, current=LABEL, slots=slots),),
         routes=routes,
         shares=(share,) if share else (),
         limits=(limits,) if limits else (),
@@ -175,7 +178,7 @@
     cfg: NodeSettings,
     *,
     label: str = LABEL,
-    slots: int = 20,
+    slots: int = DEFAULT_SLOTS,
     phase: TargetPhase = TargetPhase.READY,
 ) -> Target:
     """Return the target beside a node as a registry entry."""
--- a/medlarhoist/node/proxy/client.py
+++ b/medlarhoist/node/proxy/client.py
@@ -23,6 +23,9 @@
 from medlarhoist.node.proxy.response import Response
 
 _INFORMATIONAL: Final = range(100, 200)
+# Three retransmissions of a lost packet. The kernel ends a connection without
+# acknowledgment for longer, in time for another attempt of its call.
+USER_TIMEOUT_MS: Final = 600
 # Informational responses before one response; more are a fault of the sender.
 INFORMATIONAL_LIMIT: Final = 16
 _CONTINUE_STATUS: Final = 100
@@ -238,6 +241,9 @@
         if not is_reusable or not self._is_request_sent or not self._is_idle:
             self.abort()
             return
+        if self._send_task is not None:
+            self._send_task = None
+            self.set_user_timeout(USER_TIMEOUT_MS)
         self._response = None
         self._waiter = None
         self._caller_id = ''
@@ -256,14 +262,18 @@
         """Set TCP_USER_TIMEOUT, which ends a connection without acknowledgment.
 
         Args:
-            timeout_ms: time that sent bytes may stay unacknowledged,
-                milliseconds.
+            timeout_ms: time that bytes may stay unacknowledged, or unsent for
+                lack of room at the receiver, milliseconds; zero for no limit.
         """
-        self._transport.get_extra_info('socket').setsockopt(
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            timeout_ms,
-        )
+        try:
+            self._transport.get_extra_info('socket').setsockopt(
+                socket.IPPROTO_TCP,
+                socket.TCP_USER_TIMEOUT,
+                timeout_ms,
+            )
+        except OSError:
+            # The remote end has reset the connection.
+            self.abort()
 
     def has_no_input(self) -> bool:
         """Return whether nothing is to be read from the socket.
@@ -315,6 +325,8 @@
         self._transport.write(_write_head(request, headers))
         if self._asked is not None:
             await self._asked
+        # A receiver that reads slowly is no lost one; the deadline ends it.
+        self.set_user_timeout(0)
         position = 0
         try:
             while not self._is_request_sent:
--- a/medlarhoist/node/proxy/pool.py
+++ b/medlarhoist/node/proxy/pool.py
@@ -9,15 +9,12 @@
 from medlarhoist.core.verdict import Verdict
 from medlarhoist.node.proxy.attempt import Failure, Request
 from medlarhoist.node.proxy.call_log import log_malformed_response
-from medlarhoist.node.proxy.client import ClientConnection
+from medlarhoist.node.proxy.client import USER_TIMEOUT_MS, ClientConnection
 from medlarhoist.node.proxy.response import Response
 
 # 100 times as long as a connection between failure domains takes. It ends
 # before a lost SYN is retransmitted, which TCP does after one second.
 CONNECT_TIMEOUT_S: Final = 0.3
-# Three retransmissions of a lost packet. The kernel ends a connection without
-# acknowledgment for longer, in time for another attempt of its call.
-USER_TIMEOUT_MS: Final = 600
 MAX_IDLE_S: Final = 4.0
 MAX_FRESH_IDLE_S: Final = 1.0
 CountMalformed = Callable[[], None]
@@ -138,8 +135,8 @@
             _, conn = await asyncio.wait_for(opening, CONNECT_TIMEOUT_S)
         except (OSError, TimeoutError):
             return None
-        conn.set_user_timeout(USER_TIMEOUT_MS)
         self._connections.add(conn)
+        conn.set_user_timeout(USER_TIMEOUT_MS)
         return conn
 
 
--- a/medlarhoist/node/proxy/pool_test.py
+++ b/medlarhoist/node/proxy/pool_test.py
@@ -6,11 +6,8 @@
 
 from bench.ports import open_unresponsive_address
 from medlarhoist.core.balance import TargetView
-from medlarhoist.node.proxy.pool import (
-    CONNECT_TIMEOUT_S,
-    USER_TIMEOUT_MS,
-    ConnectionPool,
-)
+from medlarhoist.node.proxy.client import USER_TIMEOUT_MS
+from medlarhoist.node.proxy.pool import CONNECT_TIMEOUT_S, ConnectionPool
 
 
 def test_connections_set_the_tcp_user_timeout():
@@ -36,6 +33,26 @@
     assert asyncio.run(scenario()) == USER_TIMEOUT_MS
 
 
+def test_a_connection_may_be_reset_before_its_options_are_set():
+    """The option of a closed socket cannot be set; the request is not sent."""
+
+    async def scenario():
+        server = await asyncio.start_server(
+            lambda reader, writer: writer.transport.abort(),
+            '127.0.0.1',
+            0,
+        )
+        port = server.sockets[0].getsockname()[1]
+        pool = ConnectionPool(f'127.0.0.1:{port}', int)
+        conn = await pool.acquire(fresh_only=True)
+        await asyncio.sleep(0.05)
+        conn.set_user_timeout(USER_TIMEOUT_MS)
+        server.close()
+        return conn.is_open, pool.size
+
+    assert asyncio.run(scenario()) == (False, 0)
+
+
 def test_opening_a_connection_times_out():
     async def scenario():
         started = time.monotonic()
--- a/medlarhoist/node/proxy/upload_end_test.py
+++ b/medlarhoist/node/proxy/upload_end_test.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from bench.calls_raw import open_post, read_response_head
+from bench.calls_raw import open_post, read_request, read_response_head
 from bench.calls_static import compile_sample
 from medlarhoist.core.resource import Limits
 from medlarhoist.node.proxy.body import HIGH_WATER_BYTES
@@ -187,6 +187,25 @@
     assert received == [BODY]
 
 
+def test_a_target_may_pause_while_it_reads_an_upload(run_mesh, serve_raw):
+    """Bytes that it has no room for yet are not a sign of a lost target."""
+    size = 16 * 1024 * 1024
+
+    async def read_late(reader, writer):
+        writer.transport.pause_reading()
+        await asyncio.sleep(1.5)
+        writer.transport.resume_reading()
+        await read_request(reader)
+        writer.write(DONE)
+
+    async def scenario(mesh):
+        await mesh.add(registered=False)
+        await mesh.add(port=await serve_raw(read_late))
+        return await mesh.post(body=bytes(size))
+
+    assert run_mesh(scenario).content == b'done'
+
+
 def test_uploads_are_not_held(run_mesh, serve_raw):
     """A node stops reading from a caller while the target reads nothing."""
     started = time.monotonic()
