Halve what a node buffers of a long body

Cause: a connection was read 256 KiB at a time (asyncio's default) before a body of 128 KiB paused it, and each piece is copied up to three times on its way. 100 bodies at once cost a node up to 123 MB over its idle size.

Now 64 KiB are read at once and 64 KiB pause the sender.

--- a/medlarhoist/node/proxy/body.py
+++ b/medlarhoist/node/proxy/body.py
@@ -10,7 +10,9 @@
 from collections.abc import Callable
 from typing import Final
 
-HIGH_WATER_BYTES: Final = 131_072
+HIGH_WATER_BYTES: Final = 65_536
+# Bytes read from a connection at once; asyncio's own limit is four times that.
+READ_BYTES: Final = 65_536
 SetReading = Callable[[bool], None]
 
 
--- a/medlarhoist/node/proxy/client.py
+++ b/medlarhoist/node/proxy/client.py
@@ -12,7 +12,7 @@
 from medlarhoist.core.head_check import RESPONSE_LIMIT_BYTES, Framing, HeadFault
 from medlarhoist.core.headers import Header
 from medlarhoist.node.proxy.attempt import Request
-from medlarhoist.node.proxy.body import IncompleteBody
+from medlarhoist.node.proxy.body import READ_BYTES, IncompleteBody
 from medlarhoist.node.proxy.head import (
     LAST_CHUNK,
     parse_response_head,
@@ -122,6 +122,7 @@
     def connection_made(self, transport: Any) -> None:
         """Store the transport."""
         self._transport = transport
+        transport.max_size = READ_BYTES
         self._pool.opened += 1
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/medlarhoist/node/proxy/server.py
+++ b/medlarhoist/node/proxy/server.py
@@ -12,7 +12,11 @@
 
 from medlarhoist.core.head_check import Framing, HeadFault
 from medlarhoist.core.resource import Limits
-from medlarhoist.node.proxy.body import BodyTooLarge, IncompleteBody
+from medlarhoist.node.proxy.body import (
+    READ_BYTES,
+    BodyTooLarge,
+    IncompleteBody,
+)
 from medlarhoist.node.proxy.exchange import CLOSE, Exchange
 from medlarhoist.node.proxy.head import (
     REASON_PHRASES,
@@ -107,6 +111,7 @@
     def connection_made(self, transport: Any) -> None:
         """Register with the listener, or abort at CONNECTION_LIMIT."""
         self._transport = transport
+        transport.max_size = READ_BYTES
         if len(self.listener.connections) >= CONNECTION_LIMIT:
             transport.abort()
             return
