Let a replaced source ask the members that replies name

Cause: a source whose member slot was reassigned asked the endpoints of its settings only. If the source that has its slot now leads, none of them can tell it, and it never retired.

--- a/medlarhoist/source/standby.py
+++ b/medlarhoist/source/standby.py
@@ -142,13 +142,15 @@
     """Wait until the leader replies that this source's slot was reassigned.
 
     Asks only while no leader has contacted this source for
-    LEADER_TIMEOUT_SECONDS.
+    LEADER_TIMEOUT_SECONDS. Replies name the present members, which are asked
+    next: the leader may be the source that took over the slot.
 
     Args:
         cfg: settings of this source.
         ledger: its replica.
     """
     channels = create_standby_channels(cfg)
+    endpoints: dict[str, str] = {}
     while True:
         await asyncio.sleep(CHECK_INTERVAL_SECONDS)
         request = ledger.peer_service.membership_request()
@@ -157,13 +159,16 @@
         )
         if request is None or since_contact_s < LEADER_TIMEOUT_SECONDS:
             continue
-        for peer in ledger.peers:
-            reply = await request_membership(
-                channels, endpoint_of(peer), request
-            )
-            if reply is not None and reply.is_retired:
+        configured = {peer.name: endpoint_of(peer) for peer in ledger.peers}
+        endpoints = {**configured, **endpoints}
+        for endpoint in tuple(endpoints.values()):
+            reply = await request_membership(channels, endpoint, request)
+            if reply is None:
+                continue
+            if reply.is_retired:
                 channels.close()
                 return
+            endpoints.update(reply.endpoints)
 
 
 def create_standby_channels(cfg: SourceSettings) -> Channels:
