--- a/medlarhoist/source/standby.py
+++ b/medlarhoist/source/standby.py
@@ -161,14 +161,31 @@
             continue
         configured = {peer.name: endpoint_of(peer) for peer in ledger.peers}
         endpoints = {**configured, **endpoints}
-        for endpoint in tuple(endpoints.values()):
-            reply = await request_membership(channels, endpoint, request)
-            if reply is None:
-                continue
-            if reply.is_retired:
-                channels.close()
-                return
-            endpoints.update(reply.endpoints)
+        if await _is_retired(channels, endpoints, request):
+            channels.close()
+            return
+
+
+async def _is_retired(
+    channels: Channels,
+    endpoints: dict[str, str],
+    request: MembershipRequest,
+) -> bool:
+    """Return whether a source replies that the sender's slot was reassigned.
+
+    Args:
+        channels: connections to the other sources.
+        endpoints: endpoints to ask, by name; updated from the replies.
+        request: the request.
+    """
+    for endpoint in tuple(endpoints.values()):
+        reply = await request_membership(channels, endpoint, request)
+        if reply is None:
+            continue
+        if reply.is_retired:
+            return True
+        endpoints.update(reply.endpoints)
+    return False
 
 
 def create_standby_channels(cfg: SourceSettings) -> Channels:
