Leave a parent that falls silent before a version is overdue

Cause: a parent sent a heartbeat each second and was left after 2.5 s without one. A version accepted when a parent fell silent (frozen, without power, cut off) reached its children later than the 2 s in which it has to be in force. A parent that accepted the connection and said nothing held a child for 2.5 s, too; keepers went back to the same frozen source, and asked it first for the present leader.

Heartbeats of nodes come each 0.5 s, a node is left after 1.2 s without one, a parent without a first message after 1 s, and the address that has just failed is tried and asked last. Sources keep their 0.8 s and 2.5 s.

Ruled out: shorter limits with the old heartbeat (one late message would move every child). Weighed: the version in packets of the gossip, which costs no message; it needs all nodes to have them.

--- a/medlarhoist/node/distribution.py
+++ b/medlarhoist/node/distribution.py
@@ -38,9 +38,10 @@
 from medlarhoist.wire.message import Ages, Established
 from medlarhoist.wire.rpc import Method, StreamHandler
 
-HEARTBEAT_SECONDS: Final = 1.0
-# Keepers send the ages of summaries with every fifth heartbeat.
-HEARTBEATS_PER_AGES: Final = 5
+# Children leave a parent that sends nothing for more than two of them.
+HEARTBEAT_SECONDS: Final = 0.5
+# Keepers send the ages of summaries with every tenth heartbeat.
+HEARTBEATS_PER_AGES: Final = 10
 MS_PER_SECOND: Final = 1000
 
 
--- a/medlarhoist/node/join.py
+++ b/medlarhoist/node/join.py
@@ -71,7 +71,11 @@
                 changed = True
         return changed
 
-    async def refresh(self, members: Iterable[str] = ()) -> bool:
+    async def refresh(
+        self,
+        members: Iterable[str] = (),
+        last: str = '',
+    ) -> bool:
         """Query processes until one replies with this domain's keeper set.
 
         They are queried one after another: the leader, the other sources in
@@ -79,6 +83,8 @@
 
         Args:
             members: control addresses of nodes of the domain.
+            last: control address to query after all others, as it has just
+                failed; empty for none.
 
         Returns:
             False if no reply contained the set.
@@ -87,7 +93,11 @@
         self._random.shuffle(sources)
         if self.leader:
             sources.insert(0, self.leader)
-        for address in dict.fromkeys((*sources, *members)):
+        addresses = sorted(
+            dict.fromkeys((*sources, *members)),
+            key=lambda address: address == last,
+        )
+        for address in addresses:
             joined = await self._channels.try_call(
                 address, JOIN, self._request()
             )
--- a/medlarhoist/node/uplink.py
+++ b/medlarhoist/node/uplink.py
@@ -30,8 +30,14 @@
 # A hundred times as long as connecting to another failure domain takes. The
 # timeout is for VMs that have failed, as those do not even refuse a connection.
 ATTACH_TIMEOUT_SECONDS: Final = 0.5
-# Parents send a heartbeat each second.
-RECEIVE_TIMEOUT_SECONDS: Final = 2.5
+# Sources send a heartbeat each 0.8 s.
+SOURCE_SILENCE_SECONDS: Final = 2.5
+# Nodes send one each 0.5 s. A version has to be in force 2 s after it was
+# accepted, also below a parent that fell silent at that moment.
+PARENT_SILENCE_SECONDS: Final = 1.2
+# A parent admits or redirects a child at once. One that is frozen accepts the
+# connection all the same.
+FIRST_MESSAGE_SECONDS: Final = 1.0
 STABLE_SECONDS: Final = 5.0
 STALE_SECONDS: Final = 4.0
 MAX_STALE_SECONDS: Final = 64.0
@@ -65,6 +71,7 @@
         '_cfg',
         '_channels',
         '_directory',
+        '_failed',
         '_hint',
         '_is_parent_source',
         '_keeper',
@@ -92,6 +99,7 @@
         self._cfg = cfg
         self._channels = channels
         self._directory = directory
+        self._failed = ''
         self._hint = ''
         self._keeper = keeper
         self._stale_timeout = STALE_SECONDS
@@ -131,12 +139,16 @@
         loop = asyncio.get_running_loop()
         while True:
             if self.attempts or self._directory.domain_keepers is None:
-                await self._directory.refresh(self._addresses().values())
+                await self._directory.refresh(
+                    self._addresses().values(),
+                    last=self._failed,
+                )
                 self._receiver.update_role()
             started_at = loop.time()
             address = self._choose_parent()
             if address:
                 await self._attach_safely(address)
+                self._failed = address
             if loop.time() - started_at > STABLE_SECONDS:
                 self.attempts = 0
             longest = max_delay_seconds(len(self._addresses()) + 1)
@@ -169,9 +181,13 @@
         return candidates[self.attempts % len(candidates)]
 
     def _choose_source(self) -> str:
-        if self._directory.leader and not self.attempts % 2:
-            return self._directory.leader
-        return self._random.choice(self._directory.sources)
+        """Return the leader, another source if that one has just failed."""
+        leader = self._directory.leader
+        if leader and leader != self._failed:
+            return leader
+        sources = self._directory.sources
+        others = [source for source in sources if source != self._failed]
+        return self._random.choice(others or sources)
 
     async def _attach_safely(self, address: str) -> None:
         try:
@@ -225,8 +241,9 @@
         return True
 
     async def _receive_all(self, stream: Any, address: str) -> None:
+        silence_s = FIRST_MESSAGE_SECONDS
         while True:
-            async with asyncio.timeout(RECEIVE_TIMEOUT_SECONDS):
+            async with asyncio.timeout(silence_s):
                 message: DownMessage | None = await stream.recv_message()
             if message is None:
                 return
@@ -237,6 +254,11 @@
                 logger.info('tree: attached to {}', address)
                 self._record_leader(address)
             self.parent = address
+            silence_s = (
+                SOURCE_SILENCE_SECONDS
+                if self._is_parent_source
+                else PARENT_SILENCE_SECONDS
+            )
             if self._receiver.receive(message):
                 await stream.send_message(self._receiver.hello(full=True))
             self._sender.mark_changed()
