Start no request for a caller that left while the node was paused

Cause: a node that was paused (SIGSTOP, a freeze of its VM) reads the requests that came meanwhile before it sees that their callers have closed, and sent them on over an idle connection at once: work for nobody, past its deadline, and once more where the caller had asked another node.

Each request now starts with a look at its connection (POLLRDHUP), at the entry and at the peer listener.

Ruled out: a detector of pauses (the loop's timers run after the reads), and the deadline, which counts from the read.

--- a/medlarhoist/node/proxy/server.py
+++ b/medlarhoist/node/proxy/server.py
@@ -283,6 +283,13 @@
         self._transport.write(head + content)
         self._close_after_response()
 
+    def _is_disconnected(self) -> bool:
+        """Return whether the remote end has closed, also behind unread bytes."""
+        poller = select.poll()
+        sock = self._transport.get_extra_info('socket')
+        poller.register(sock.fileno(), select.POLLRDHUP)
+        return any(events & _DISCONNECTED for _, events in poller.poll(0))
+
     def _schedule_disconnect_check(self) -> None:
         self._disconnect_check = asyncio.get_running_loop().call_later(
             DISCONNECT_CHECK_S,
@@ -294,10 +301,7 @@
         self._disconnect_check = None
         if self._transport.is_closing():
             return
-        poller = select.poll()
-        sock = self._transport.get_extra_info('socket')
-        poller.register(sock.fileno(), select.POLLRDHUP)
-        if any(events & _DISCONNECTED for _, events in poller.poll(0)):
+        if self._is_disconnected():
             self._transport.abort()
         else:
             self._schedule_disconnect_check()
@@ -342,6 +346,14 @@
             self._write_buffer.clear()
 
     async def _run(self, exchange: Exchange) -> None:
+        """Serve a request whose sender is still connected.
+
+        After a pause of the process, requests are read of senders that left
+        in the meantime.
+        """
+        if self._transport.is_closing() or self._is_disconnected():
+            self.reset()
+            return
         try:
             await self._serve(exchange)
         except asyncio.CancelledError:
