--- a/medlarhoist/node/proxy/conftest.py
+++ b/medlarhoist/node/proxy/conftest.py
@@ -6,7 +6,7 @@
 import pytest
 
 from bench.calls_mesh import Mesh
-from bench.calls_raw import read_request
+from bench.calls_raw import open_post, read_request
 
 DONE = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone'
 
@@ -73,3 +73,22 @@
             await writer.drain()
 
     return lambda: serve_raw(respond)
+
+
+@pytest.fixture(name='start_upload')
+def _start_upload(serve_upload):
+    """Return a function that begins an upload over two nodes.
+
+    It sends the head and the first bytes of a body, and returns the streams of
+    the caller.
+    """
+
+    async def start(mesh, body, sent):
+        await mesh.add(registered=False)
+        await mesh.add(port=await serve_upload())
+        lines = (f'Content-Length: {len(body)}',)
+        reader, writer = await open_post(mesh, lines)
+        writer.write(body[:sent])
+        return reader, writer
+
+    return start
--- a/medlarhoist/node/proxy/upload_end_test.py
+++ b/medlarhoist/node/proxy/upload_end_test.py
@@ -53,13 +53,10 @@
 
 
 def test_an_unfinished_body_is_no_complete_request(
-    run_mesh, serve_upload, received
+    run_mesh, start_upload, received
 ):
     async def scenario(mesh):
-        await mesh.add(registered=False)
-        await mesh.add(port=await serve_upload())
-        _, writer = await open_post(mesh, _length(BODY))
-        writer.write(BODY[:PIECE_BYTES])
+        _, writer = await start_upload(mesh, BODY, PIECE_BYTES)
         await asyncio.sleep(0.1)
         writer.transport.abort()
         await asyncio.sleep(0.1)
@@ -148,15 +145,12 @@
 
 @pytest.mark.parametrize('stopped', [0, 1])
 def test_a_planned_stop_waits_for_an_upload(
-    run_mesh, serve_upload, received, stopped
+    run_mesh, start_upload, received, stopped
 ):
     """Either node is stopped while the body is being sent."""
 
     async def scenario(mesh):
-        await mesh.add(registered=False)
-        await mesh.add(port=await serve_upload())
-        reader, writer = await open_post(mesh, _length(BODY))
-        writer.write(BODY[:PIECE_BYTES])
+        reader, writer = await start_upload(mesh, BODY, PIECE_BYTES)
         await asyncio.sleep(0.1)
         stop = asyncio.create_task(mesh.nodes[stopped].stop(0.2, 5))
         await asyncio.sleep(0.6)
@@ -170,13 +164,10 @@
 
 
 def test_a_target_may_drain_while_it_receives_an_upload(
-    run_mesh, serve_upload, received
+    run_mesh, start_upload, received
 ):
     async def scenario(mesh):
-        await mesh.add(registered=False)
-        await mesh.add(port=await serve_upload())
-        reader, writer = await open_post(mesh, _length(BODY))
-        writer.write(BODY[:PIECE_BYTES])
+        reader, writer = await start_upload(mesh, BODY, PIECE_BYTES)
         await asyncio.sleep(0.1)
         mesh.nodes[1].set_local_target(None)
         await asyncio.sleep(0.1)
--- a/medlarhoist/node/proxy/upload_test.py
+++ b/medlarhoist/node/proxy/upload_test.py
@@ -150,13 +150,10 @@
 
 
 def test_the_time_of_sending_is_no_latency_of_the_target(
-    run_mesh, serve_upload
+    run_mesh, start_upload
 ):
     async def scenario(mesh):
-        await mesh.add(registered=False)
-        await mesh.add(port=await serve_upload())
-        reader, writer = await open_post(mesh, _length(BODY))
-        writer.write(BODY[:PIECE_BYTES])
+        reader, writer = await start_upload(mesh, BODY, PIECE_BYTES)
         await asyncio.sleep(0.6)
         writer.write(BODY[PIECE_BYTES:])
         await read_response_head(reader)
