--- a/medlarhoist/core/balance_test.py
+++ b/medlarhoist/core/balance_test.py
@@ -9,13 +9,13 @@
 from medlarhoist.core.balance import (
     NodeLocation,
     SelectionContext,
-    TargetView,
     pick_label,
     pick_target,
 )
 from medlarhoist.core.snapshot import Share
 from medlarhoist.core.subset import choose_subset
 from medlarhoist.core.target import Target, TargetPhase
+from medlarhoist.core.target_view import TargetView
 
 HERE = NodeLocation('a', 'none')
 NOW = 100.0
--- a/medlarhoist/node/proxy/observer.py
+++ b/medlarhoist/node/proxy/observer.py
@@ -8,10 +8,10 @@
 import time
 from typing import Final
 
-from medlarhoist.core.balance import TargetView
 from medlarhoist.core.headers import LOAD_HEADER, find_header
 from medlarhoist.core.interfaces import CallRecorder
 from medlarhoist.core.load_headers import parse_load
+from medlarhoist.core.target_view import TargetView
 from medlarhoist.core.verdict import SERVER_FAULT_STATUS, Verdict
 from medlarhoist.node.proxy.attempt import Failure
 from medlarhoist.node.proxy.call import Call
--- a/medlarhoist/node/proxy/pool_test.py
+++ b/medlarhoist/node/proxy/pool_test.py
@@ -5,7 +5,7 @@
 import time
 
 from bench.ports import open_unresponsive_address
-from medlarhoist.core.balance import TargetView
+from medlarhoist.core.target_view import TargetView
 from medlarhoist.node.proxy.client import USER_TIMEOUT_MS
 from medlarhoist.node.proxy.pool import CONNECT_TIMEOUT_S, ConnectionPool
 
--- a/medlarhoist/node/proxy/target_selector.py
+++ b/medlarhoist/node/proxy/target_selector.py
@@ -11,7 +11,6 @@
 from medlarhoist.core.balance import (
     NodeLocation,
     SelectionContext,
-    TargetView,
     pick_label,
     pick_target,
 )
@@ -20,6 +19,7 @@
 from medlarhoist.core.resource import Service
 from medlarhoist.core.subset import choose_subset
 from medlarhoist.core.target import Target, TargetPhase
+from medlarhoist.core.target_view import TargetView
 
 LOCAL_SUBSET_SIZE: Final = 16
 REMOTE_SUBSET_SIZE: Final = 8
