Tell children the keeper sets that a node has asked for

Callers of a domain that was cut off were handled by an old version for some seconds after the cut had healed.

Cause: a node without a parent asks the sources for the keeper sets. What it learned so went into its directory and its own role, not to its children. A child that had been made the only keeper of the domain while it stood below such a node kept its heartbeating parent and did not attach to the leader, until the age of the parent's contact passed 4 s and its own questions were answered. The domain got no version in that time. Class: state that two paths update, of which only one propagates it.

Change: the directory calls back for each newer set, whichever way it came; that updates the role and tells the children. The test now also waits until all nodes are attached, since a keeper that was not yet attached could be chosen instead of the child.

--- a/bench/healed_domain_test.py
+++ b/bench/healed_domain_test.py
@@ -27,6 +27,12 @@
     await child.start()
     await fleet.activate(1)
     await fleet.wait_until_in_force(1)
+    await wait_until(
+        lambda: all(
+            node.distribution.dump().uplink.parent
+            for node in fleet.nodes.values()
+        )
+    )
     return child
 
 
--- a/medlarhoist/node/distribution.py
+++ b/medlarhoist/node/distribution.py
@@ -193,6 +193,7 @@
         )
 
     def _register_callbacks(self) -> None:
+        self.directory.on_change(self._receiver.apply_sets)
         self._downlink.on_change(self._uplink.mark_changed)
         self._downlink.initial_messages = self._registry.summaries
         self._exchange.on_summary(self._downlink.broadcast)
@@ -267,7 +268,7 @@
     def _adopt_keeper_set(self) -> None:
         keepers = self._keeper.state.keepers
         if keepers is not None:
-            self._receiver.adopt_sets((keepers,))
+            self.directory.adopt((keepers,))
 
     def _other_keepers(self) -> list[str]:
         keepers = self.directory.domain_keepers
--- a/medlarhoist/node/join.py
+++ b/medlarhoist/node/join.py
@@ -3,7 +3,7 @@
 Any source can reply. If none does, nodes of the failure domain are queried.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from random import Random
 from typing import Any, Final
 
@@ -37,6 +37,7 @@
     __slots__ = (
         '_cfg',
         '_channels',
+        '_on_change',
         '_random',
         'leader',
         'sets',
@@ -52,6 +53,7 @@
         """Start without keeper sets; the settings name the sources."""
         self._cfg = cfg
         self._channels = channels
+        self._on_change: Callable[[tuple[KeeperSet, ...]], None] = _ignore
         self._random = random
         self.sets: dict[str, KeeperSet] = {}
         self.leader = ''
@@ -62,14 +64,23 @@
         """Return the keeper set of this node's domain, None if unknown."""
         return self.sets.get(self._cfg.domain)
 
-    def adopt(self, sets: Iterable[KeeperSet]) -> bool:
-        """Adopt newer keeper sets and return whether there was any."""
-        changed = False
-        for keepers in sets:
-            if keepers.epoch > epoch_of(self.sets.get(keepers.domain)):
-                self.sets[keepers.domain] = keepers
-                changed = True
-        return changed
+    def on_change(
+        self,
+        callback: Callable[[tuple[KeeperSet, ...]], None],
+    ) -> None:
+        """Set the callback for keeper sets that are newer than those held."""
+        self._on_change = callback
+
+    def adopt(self, sets: Iterable[KeeperSet]) -> None:
+        """Adopt the newer ones of some keeper sets."""
+        newer = tuple(
+            keepers
+            for keepers in sets
+            if keepers.epoch > epoch_of(self.sets.get(keepers.domain))
+        )
+        self.sets.update({keepers.domain: keepers for keepers in newer})
+        if newer:
+            self._on_change(newer)
 
     async def refresh(
         self,
@@ -146,3 +157,7 @@
             sources=self.sources,
         )
         await stream.send_message(joined)
+
+
+def _ignore(sets: tuple[KeeperSet, ...]) -> None:
+    """Ignore newer keeper sets."""
--- a/medlarhoist/node/uplink.py
+++ b/medlarhoist/node/uplink.py
@@ -143,7 +143,6 @@
                     self._addresses().values(),
                     last=self._failed,
                 )
-                self._receiver.update_role()
             started_at = loop.time()
             address = self._choose_parent()
             if address:
--- a/medlarhoist/node/uplink_receiver.py
+++ b/medlarhoist/node/uplink_receiver.py
@@ -112,7 +112,7 @@
             self._configuration.abandon(message.version)
             self._downlink.broadcast(message)
         elif isinstance(message, Keepers):
-            self.adopt_sets(message.sets)
+            self._directory.adopt(message.sets)
         elif isinstance(message, Summary) and self._on_summary(message):
             self._downlink.broadcast(message)
         elif isinstance(message, Ages):
@@ -142,15 +142,15 @@
             return False
         return time.monotonic() - self._behind_since > PARENT_BEHIND_SECONDS
 
-    def adopt_sets(self, sets: tuple[KeeperSet, ...]) -> None:
-        """Adopt newer keeper sets and send them to the children."""
-        if self._directory.adopt(sets):
-            self.update_role()
-            self._downlink.broadcast(Keepers(sets=sets))
+    def apply_sets(self, sets: tuple[KeeperSet, ...]) -> None:
+        """Update the role of this node and tell its children.
 
-    def update_role(self) -> None:
-        """Update this node's role to the newest keeper set received."""
+        Args:
+            sets: keeper sets that the directory has just adopted, from a
+                message of the parent or from a reply.
+        """
         self._keeper.adopt(self._directory.domain_keepers)
+        self._downlink.broadcast(Keepers(sets=sets))
         self._downlink.drop_lower_ranked()
 
     def hello(self, *, full: bool) -> Hello:
