Report the nodes below children as candidates for keepers

A failure domain could keep a single keeper for as long as its nodes formed a chain, so that one failed node took versions from the whole domain for a second or more.

Cause: an acknowledgement named the direct children as candidates only.

Ruled out: direct attachment of all nodes to the keeper, which the bound on children forbids in large domains.

--- a/medlarhoist/wire/acks.py
+++ b/medlarhoist/wire/acks.py
@@ -4,7 +4,8 @@
 and all nodes below it.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection
+from itertools import islice
 from typing import Final
 
 from msgspec.structs import replace
@@ -16,7 +17,7 @@
 MAX_NAMES: Final = 8
 
 
-def sum_acks(own_ack: Ack, sessions: Iterable[Session]) -> Ack:
+def sum_acks(own_ack: Ack, sessions: Collection[Session]) -> Ack:
     """Return one acknowledgement for a node and its children's subtrees.
 
     Refusals, lagging nodes and keeper candidates are cut to `MAX_NAMES` each.
@@ -79,11 +80,15 @@
 
 
 def _keeper_candidates(
-    own_ack: Ack, sessions: Iterable[Session]
+    own_ack: Ack, sessions: Collection[Session]
 ) -> dict[str, str]:
+    """Return the children, and then the candidates that they report."""
     candidates = dict(own_ack.spare)
+    for child in sessions:
+        candidates[child.name] = child.hello.address
     for session in sessions:
-        if len(candidates) >= MAX_NAMES:
-            break
-        candidates[session.name] = session.hello.address
-    return candidates
+        newest = session.newest_ack()
+        reported = newest.spare if newest else {}
+        for name, address in reported.items():
+            candidates.setdefault(name, address)
+    return dict(islice(candidates.items(), MAX_NAMES))
