--- a/bench/calls_mesh.py
+++ b/bench/calls_mesh.py
@@ -73,13 +73,7 @@
             await server.start()
             port = server.port
         cfg = create_settings(f'n{len(self.nodes)}', domain)
-        node = create_proxy(
-            cfg,
-            self.configuration,
-            self.registry,
-            self.recorder,
-            StaticLimiter(),
-        )
+        node = self._create_proxy(cfg)
         await node.start()
         self.nodes.append(node)
         self.settings.append(cfg)
@@ -90,11 +84,22 @@
             self.registry.set_targets((*self.registry.all_targets, target))
         return node
 
+    async def restart(self, index: int) -> None:
+        """Restart a node, which then knows nothing of before.
+
+        Its target keeps running and announces itself at once.
+        """
+        await self.nodes[index].stop(linger_s=0, timeout_s=0)
+        self.nodes[index] = self._create_proxy(self.settings[index])
+        await self.nodes[index].start()
+        self.notify(index, self.targets[index].port)
+
     def notify(
         self,
         index: int,
         port: int,
         phase: TargetPhase = TargetPhase.READY,
+        run_id: str = 'run-1',
     ) -> None:
         """Set the notice that a node has received from its target."""
         options = self.targets[index].state.options
@@ -105,6 +110,7 @@
                 port=port,
                 slots=options.slots,
                 phase=phase,
+                run_id=run_id,
             ),
         )
 
@@ -158,6 +164,15 @@
         for server in self.targets:
             server.close()
 
+    def _create_proxy(self, cfg: NodeSettings) -> Proxy:
+        return create_proxy(
+            cfg,
+            self.configuration,
+            self.registry,
+            self.recorder,
+            StaticLimiter(),
+        )
+
 
 def format_request_head(
     method: str,
--- a/bench/calls_static.py
+++ b/bench/calls_static.py
@@ -7,6 +7,8 @@
 import socket
 from collections import Counter
 
+from msgspec.structs import replace
+
 from medlarhoist.core.compile import Compiled
 from medlarhoist.core.resource import Limits, Route, Service
 from medlarhoist.core.settings import NodeSettings
@@ -54,6 +56,17 @@
         self.all_targets = targets
         self.revision += 1
 
+    def renew(self, address: str) -> None:
+        """Announce the target at an address as a new run."""
+        self.set_targets(
+            tuple(
+                replace(target, since_ms=target.since_ms + 1)
+                if target.address == address
+                else target
+                for target in self.all_targets
+            )
+        )
+
     def local_targets(self) -> tuple[Target, ...]:
         """Return none; tests call Proxy.set_local_target instead."""
         return ()
--- a/medlarhoist/standin/target.py
+++ b/medlarhoist/standin/target.py
@@ -175,6 +175,7 @@
     fault_share: float = 1.0,
     fault_ms: float = 50.0,
     health: Literal['honest', 'lagging', 'lying'] = 'honest',
+    limit: float = 0,
 ) -> None:
     """Run a stand-in target; it prints its port and runs until SIGTERM.
 
@@ -195,6 +196,8 @@
         fault_ms: additional processing time of a slow request,
             milliseconds.
         health: accuracy of the announced phase.
+        limit: requests per second that responses name as the limit; zero for
+            no limit.
     """
     options = Options(
         service=service,
@@ -210,6 +213,7 @@
         fault_share=fault_share,
         fault_ms=fault_ms,
         health=Health(health),
+        limit=limit,
     )
     asyncio.run(run_target(admin, port, options))
 
--- a/medlarhoist/standin/target_options.py
+++ b/medlarhoist/standin/target_options.py
@@ -44,6 +44,8 @@
         fault_ms: additional processing time of a slow request,
             milliseconds.
         health: accuracy of the announced phase.
+        limit: requests per second that responses name as the limit, zero for
+            no limit.
     """
 
     service: str
@@ -59,6 +61,7 @@
     fault_share: float = 1.0
     fault_ms: float = 50.0
     health: Health = Health.HONEST
+    limit: float = 0
 
 
 def is_faulty(
--- a/medlarhoist/standin/target_server.py
+++ b/medlarhoist/standin/target_server.py
@@ -22,6 +22,8 @@
 WORK_HEADER: Final = 'x-work-ms'
 SIZE_HEADER: Final = 'x-size'
 DID_NOT_RUN_LINE: Final = 'x-did-not-run: true\r\n'
+LIMIT_HEADER: Final = 'x-request-limit'
+LEAVING_LINE: Final = 'x-target-leaving: 1\r\n'
 RECORD_PATH: Final = '/_record'
 _SLOW_START_FACTOR: Final = 3
 _MS_PER_SECOND: Final = 1000
@@ -58,10 +60,21 @@
         record: counts of its requests.
         started: monotonic time of its start, seconds.
         is_refusing: whether new requests are refused, as in a drain.
+        is_leaving: whether responses state that the target leaves.
+        limit: requests per second that responses name as the limit, zero for
+            no limit. It is not enforced.
         rng: random numbers for faults.
     """
 
-    __slots__ = ('is_refusing', 'options', 'record', 'rng', 'started')
+    __slots__ = (
+        'is_leaving',
+        'is_refusing',
+        'limit',
+        'options',
+        'record',
+        'rng',
+        'started',
+    )
 
     def __init__(self, options: Options, seed: int = 1) -> None:
         """Create the state of a target that starts now.
@@ -74,6 +87,8 @@
         self.record = Record()
         self.started = time.monotonic()
         self.is_refusing = False
+        self.is_leaving = False
+        self.limit = options.limit
         self.rng = random.Random(seed)  # noqa: S311  faults, not secrets
 
     @property
@@ -81,6 +96,16 @@
         """Return the time since readiness, seconds; negative before it."""
         return time.monotonic() - self.started - self.options.cold_s
 
+    @property
+    def announcements(self) -> str:
+        """Return the header lines that each response has, with CRLF."""
+        lines = ''
+        if self.limit:
+            lines += f'{LIMIT_HEADER}: {self.limit}\r\n'
+        if self.is_leaving:
+            lines += LEAVING_LINE
+        return lines
+
     @property
     def has_free_slot(self) -> bool:
         """Return whether a request may start now."""
@@ -265,6 +290,7 @@
         echo = f'{ATTEMPT_HEADER}: {attempt}\r\n' if attempt else ''
         head = (
             f'HTTP/1.1 {response.status} -\r\n{response.extra}{echo}'
+            f'{self._state.announcements}'
             f'content-length: {len(response.content)}\r\n\r\n'
         )
         content = b'' if request.method == 'HEAD' else response.content
