--- a/medlarhoist/standin/target_server.py
+++ b/medlarhoist/standin/target_server.py
@@ -99,12 +99,12 @@
     @property
     def announcements(self) -> str:
         """Return the header lines that each response has, with CRLF."""
-        lines = ''
+        lines = []
         if self.limit:
-            lines += f'{LIMIT_HEADER}: {self.limit}\r\n'
+            lines.append(f'{LIMIT_HEADER}: {self.limit}\r\n')
         if self.is_leaving:
-            lines += LEAVING_LINE
-        return lines
+            lines.append(LEAVING_LINE)
+        return ''.join(lines)
 
     @property
     def has_free_slot(self) -> bool:
