Keep to the requests per second that a target names

Cause: nothing read that header. Admission counted slots only, and placement sent a limited target more, since its slots were free.

Change: the node beside a target, which admits all calls to it, spaces them (core/rate_limit.py). What a target states belongs to its run and is sent on to entry nodes (core/condition.py). They send it back with their calls, so that a target's node that has restarted is bound before its first response. The load that nodes report includes the limit and the time until the next turn; the prediction of a wait, placement and Retry-After use both. A limit ends with the first response without it; a target gets one request in two seconds at least, since it states the end only in a response.

Ruled out: shares of the limit per entry node, which waste it where load is uneven and exceed it when nodes come and go.

--- a/medlarhoist/core/admission.py
+++ b/medlarhoist/core/admission.py
@@ -52,12 +52,23 @@
         used: slots in use.
         waiting: calls queued for a slot.
         busy_s: moving average of the time that a call holds a slot, seconds.
+        rate: requests per second that it accepts, zero for no limit.
+        delay_s: time until it accepts the next request, seconds; zero without
+            a limit.
     """
 
     slots: int
     used: int
     waiting: int
     busy_s: float = INITIAL_BUSY_S
+    rate: float = 0
+    delay_s: float = 0
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether a new call would have to wait."""
+        is_occupied = self.used >= self.slots or self.waiting > 0
+        return is_occupied or self.delay_s > 0
 
 
 class CallRequirements(Struct, frozen=True, kw_only=True):
@@ -116,7 +127,7 @@
     """
     if requirements.deadline <= now:
         return Admission.REFUSE
-    if load.used < load.slots and not load.waiting:
+    if not load.is_full:
         return Admission.START
     if can_finish_in_time(load, requirements, now, ahead):
         return Admission.WAIT
@@ -154,14 +165,20 @@
 
 
 def wait_seconds(load: Load, ahead: int) -> float:
-    """Return how long a call is predicted to wait for a slot, in seconds.
+    """Return how long a call is predicted to wait, in seconds.
+
+    It waits for a slot, and for its turn at a target that limits the requests
+    per second.
 
     Args:
         load: present load of the target, which must have slots.
         ahead: waiting calls that are served before it.
     """
     excess = max(0, load.used - load.slots)
-    return (ahead + excess + 1) * load.busy_s / load.slots
+    slot_s = (ahead + excess + 1) * load.busy_s / load.slots
+    if not load.rate:
+        return slot_s
+    return max(slot_s, load.delay_s + ahead / load.rate)
 
 
 def retry_after_seconds(load: Load, rng: Random) -> float:
--- a/medlarhoist/core/admission_test.py
+++ b/medlarhoist/core/admission_test.py
@@ -24,7 +24,9 @@
     start_deadline,
 )
 from medlarhoist.core.load_headers import (
+    format_load,
     format_requirements,
+    parse_load,
     parse_requirements,
 )
 
@@ -156,3 +158,15 @@
     assert parse_left_ms(b'9999999') == MAX_LEFT_MS
     assert left_for_next_hop_ms(10.25, 10.0) < 250
     assert left_for_next_hop_ms(10.0, 11.0) == 0
+
+
+def test_a_call_waits_for_its_turn_at_a_limited_target():
+    load = Load(20, 1, 2, busy_s=0.1, rate=10, delay_s=0.05)
+    assert wait_seconds(load, 2) == approx(0.25)
+    assert admit(load, _requirements(due=1), NOW, 2) is Admission.WAIT
+    assert admit(load, _requirements(due=0.3), NOW, 2) is Admission.REFUSE
+
+
+def test_reported_load_includes_the_limit():
+    for load in (Load(20, 3, 1, 0.1), Load(20, 3, 1, 0.1, 4.1, 0.25)):
+        assert parse_load(format_load(load)) == load
--- a/medlarhoist/core/balance.py
+++ b/medlarhoist/core/balance.py
@@ -18,7 +18,7 @@
 
 from msgspec import Struct
 
-from medlarhoist.core.admission import Load, wait_seconds
+from medlarhoist.core.admission import wait_seconds
 from medlarhoist.core.snapshot import FULL_SHARE, Share
 from medlarhoist.core.target import Target, TargetPhase
 from medlarhoist.core.target_view import TargetView
@@ -151,7 +151,7 @@
     cost = load.busy_s
     if load.slots:
         cost *= 1 + UTILIZATION_WEIGHT * load.used / load.slots
-    if is_full(load):
+    if load.is_full:
         wait_s = wait_seconds(load, load.waiting) if load.slots else inf
         cost += wait_s + FULL_COST_SHARE * load.busy_s
     cost *= view.failure_factor()
@@ -162,11 +162,6 @@
     return cost * REMOTE_COST_FACTOR + REMOTE_COST_S + bytes_s
 
 
-def is_full(load: Load) -> bool:
-    """Return whether a new call would have to wait for a slot."""
-    return load.used >= load.slots or load.waiting > 0
-
-
 def _mean_busy(targets: Sequence[Target], views: Views, now: float) -> float:
     """Return the mean of the targets' busy times, seconds."""
     times = [
@@ -198,7 +193,7 @@
         expected_s *= context.usual_s / mean_s
     expected_s *= view.failure_factor()
     return (
-        not is_full(load) and expected_s <= LOCAL_LATENCY_SHARE * context.left_s
+        not load.is_full and expected_s <= LOCAL_LATENCY_SHARE * context.left_s
     )
 
 
--- a/medlarhoist/core/balance_test.py
+++ b/medlarhoist/core/balance_test.py
@@ -186,3 +186,16 @@
     fewer = targets[:50] + targets[51:]
     before = set(choose_subset('x1', targets, 10))
     assert len(before & set(choose_subset('x1', fewer, 10))) >= 9
+
+
+def test_calls_sent_to_a_limited_target_delay_the_next(pick):
+    """Its slots are free, but its turn for another call comes later."""
+    limited = _view()
+    limited.record_load(Load(20, 0, 0, 0.1, 10, 0), NOW)
+    targets = [_target(1), _target(2)]
+    other = _view()
+    other.record_load(Load(20, 10, 0, 0.1), NOW)
+    assert pick(targets, {1: limited, 2: other})['n1'] == 300
+    for _ in range(2):
+        limited.record_send(NOW)
+    assert pick(targets, {1: limited, 2: other})['n2'] == 300
--- /dev/null
+++ b/medlarhoist/core/condition.py
@@ -0,0 +1,139 @@
+"""Condition: what a run of a target states of itself in its responses.
+
+The node beside the target reads it from each response and sends it on to the
+entry node. An entry node that has passed such a response on sends the condition
+with its calls, since the target's node may have restarted since then.
+"""
+
+from collections.abc import Callable, Sequence
+from math import isfinite
+from typing import Final
+from urllib.parse import quote, unquote
+
+from msgspec import Struct
+
+from medlarhoist.core.header_names import HeaderNames
+from medlarhoist.core.headers import Header, find_header
+
+# A target names the end of its limit only in responses, so it gets a request
+# now and then, whatever its limit is.
+MIN_RATE: Final = 0.5
+_FIELDS: Final = 2
+
+
+class Condition(Struct, frozen=True):
+    """What one run of a target states of itself.
+
+    Args:
+        run_key: key of the run; empty for a target without run id.
+        rate: requests per second that it accepts from all nodes together,
+            zero for no limit.
+    """
+
+    run_key: str = ''
+    rate: float = 0
+
+    @property
+    def is_restricted(self) -> bool:
+        """Return whether the target states anything that restricts calls."""
+        return self.rate > 0
+
+
+NO_CONDITION: Final = Condition()
+
+
+class RunCondition:
+    """What the present run of the target beside a node has stated.
+
+    Args:
+        run_key: key of the run, empty for a target without run id.
+        condition: what its last response has stated; before its first one,
+            what entry nodes have reported.
+    """
+
+    __slots__ = ('_has_response', '_on_change', 'condition', 'run_key')
+
+    def __init__(self, on_change: Callable[[Condition], None]) -> None:
+        """Start without a run.
+
+        Args:
+            on_change: called with each new condition.
+        """
+        self._has_response = False
+        self._on_change = on_change
+        self.condition = NO_CONDITION
+        self.run_key = ''
+
+    @property
+    def known(self) -> Condition | None:
+        """Return the condition, None before a response has stated it."""
+        return self.condition if self._has_response else None
+
+    def start_run(self, run_key: str) -> None:
+        """Forget what another run has stated."""
+        if run_key != self.run_key:
+            self.run_key = run_key
+            self._has_response = False
+            self._change(NO_CONDITION)
+
+    def record(self, condition: Condition) -> None:
+        """Record what a response states; that of another run is ignored."""
+        if condition.run_key == self.run_key:
+            self._has_response = True
+            self._change(condition)
+
+    def adopt(self, condition: Condition) -> None:
+        """Adopt what an entry node reports before there is a response.
+
+        After a restart of this node, entry nodes know of more responses.
+        """
+        is_same_run = self.run_key and condition.run_key == self.run_key
+        if is_same_run and not self._has_response:
+            self._change(condition)
+
+    def _change(self, condition: Condition) -> None:
+        if condition != self.condition:
+            self.condition = condition
+            self._on_change(condition)
+
+
+def read_condition(
+    names: HeaderNames,
+    run_key: str,
+    headers: Sequence[Header],
+) -> Condition:
+    """Return what a response of a target states.
+
+    A limit that is not a number, or below zero, is ignored.
+
+    Args:
+        names: header names of the node.
+        run_key: key of the run that sent the response.
+        headers: headers of the response.
+    """
+    rate = _parse_rate(find_header(headers, names.rate_limit))
+    return Condition(run_key, 0 if rate is None else max(MIN_RATE, rate))
+
+
+def format_condition(condition: Condition) -> bytes:
+    """Return the header value by which nodes send a condition."""
+    run_key = quote(condition.run_key).encode()
+    return b'%.3f %b' % (condition.rate, run_key)
+
+
+def parse_condition(value: bytes | None) -> Condition | None:
+    """Return the condition that a node sent, None without a valid one."""
+    words = (value or b'').split(b' ')
+    rate = _parse_rate(words[0])
+    if len(words) != _FIELDS or rate is None:
+        return None
+    return Condition(unquote(words[1].decode('latin-1')), rate)
+
+
+def _parse_rate(value: bytes | None) -> float | None:
+    """Return requests per second, None if missing or no such number."""
+    try:
+        rate = float(value or b'')
+    except ValueError:
+        return None
+    return rate if isfinite(rate) and rate >= 0 else None
--- a/medlarhoist/core/header_names.py
+++ b/medlarhoist/core/header_names.py
@@ -31,6 +31,8 @@
         refusal: set by a target on a response if it did not run the request.
         refusal_statuses: response statuses by which a target states the same
             without a header.
+        rate_limit: set by a target on each response while it accepts a limited
+            number of requests per second, a decimal number.
     """
 
     deadline: bytes = b'x-deadline-ms'
@@ -40,6 +42,7 @@
     nesting: str = ''
     refusal: bytes = b'x-did-not-run'
     refusal_statuses: frozenset[int] = frozenset()
+    rate_limit: bytes = b'x-request-limit'
 
 
 DEFAULT_HEADER_NAMES: Final = HeaderNames()
--- a/medlarhoist/core/load_headers.py
+++ b/medlarhoist/core/load_headers.py
@@ -6,11 +6,15 @@
 
 from typing import Final
 
+from msgspec.structs import replace
+
 from medlarhoist.core.admission import CallRequirements, Load
 
 _MS_PER_SECOND: Final = 1000
 _REQUIREMENTS_FIELDS: Final = 3
 _LOAD_FIELDS: Final = 4
+_LIMITED_LOAD_FIELDS: Final = 6
+_MILLI: Final = 1000
 _MAX_DIGITS: Final = 9
 
 
@@ -68,19 +72,34 @@
     """Return the header value that reports the load of a target.
 
     Its fields are the slots, the used slots, the waiting calls, and the
-    average milliseconds that a call holds a slot, at least one.
+    average milliseconds that a call holds a slot, at least one. A target that
+    limits the requests per second has two more: requests per 1000 seconds, at
+    least one, and the milliseconds until it accepts the next.
     """
     busy_ms = max(1, round(load.busy_s * _MS_PER_SECOND))
-    return b'%d %d %d %d' % (load.slots, load.used, load.waiting, busy_ms)
+    numbers = [load.slots, load.used, load.waiting, busy_ms]
+    if load.rate:
+        numbers.append(max(1, round(load.rate * _MILLI)))
+        numbers.append(round(load.delay_s * _MS_PER_SECOND))
+    return b' '.join(b'%d' % number for number in numbers)
 
 
 def parse_load(value: bytes | None) -> Load | None:
     """Return the load that a node reports, None without a valid header."""
-    numbers = _parse_numbers(value, _LOAD_FIELDS)
+    numbers = _parse_numbers(value, _LIMITED_LOAD_FIELDS)
+    if numbers is None:
+        numbers = _parse_numbers(value, _LOAD_FIELDS)
     if numbers is None:
         return None
-    slots, used, waiting, busy_ms = numbers
-    return Load(slots, used, waiting, busy_ms / _MS_PER_SECOND)
+    slots, used, waiting, busy_ms, *limit = numbers
+    load = Load(slots, used, waiting, busy_ms / _MS_PER_SECOND)
+    if not limit:
+        return load
+    return replace(
+        load,
+        rate=limit[0] / _MILLI,
+        delay_s=limit[1] / _MS_PER_SECOND,
+    )
 
 
 def _parse_numbers(value: bytes | None, count: int) -> list[int] | None:
--- a/medlarhoist/core/target.py
+++ b/medlarhoist/core/target.py
@@ -82,3 +82,8 @@
     def address(self) -> str:
         """Return host:port that the target listens on."""
         return f'{self.host}:{self.port}'
+
+    @property
+    def run_key(self) -> str:
+        """Return the key of this run, empty if it has no id."""
+        return f'{self.run_id}/{self.born_ms}' if self.run_id else ''
--- a/medlarhoist/core/target_view.py
+++ b/medlarhoist/core/target_view.py
@@ -6,6 +6,7 @@
 from msgspec.structs import replace
 
 from medlarhoist.core.admission import INITIAL_BUSY_S, Load
+from medlarhoist.core.condition import NO_CONDITION, Condition
 
 SMOOTHING: Final = 0.2
 # Lower than SMOOTHING, which is that of latency, so that a single failure is
@@ -43,9 +44,11 @@
         load: load that its node last reported, None before the first report.
         load_reported_at: time of that report, seconds.
         sent_since_report: calls sent to it from here since that report.
+        condition: what it has stated of itself in its last response.
     """
 
     __slots__ = (
+        'condition',
         'ejected_until',
         'failure_rate',
         'failures',
@@ -72,6 +75,7 @@
         self.load: Load | None = None
         self.load_reported_at = NEVER_S
         self.sent_since_report = 0
+        self.condition: Condition = NO_CONDITION
 
     def record_send(self, now: float) -> None:
         """Record that a call is sent to the target."""
@@ -101,8 +105,18 @@
         if reported is None or now - self.load_reported_at > LOAD_REPORT_TTL_S:
             is_new = not (self.responses or self.outstanding or self.failures)
             busy_s = UNTRIED_BUSY_S if is_new else self.latency_s
-            return Load(slots, self.outstanding, 0, busy_s)
-        return replace(reported, used=reported.used + self.sent_since_report)
+            rate = self.condition.rate
+            return Load(slots, self.outstanding, 0, busy_s, rate)
+        delay_s: float = 0
+        if reported.rate:
+            turns_s = self.sent_since_report / reported.rate
+            passed_s = now - self.load_reported_at
+            delay_s = max(0, reported.delay_s + turns_s - passed_s)
+        return replace(
+            reported,
+            used=reported.used + self.sent_since_report,
+            delay_s=delay_s,
+        )
 
     def confidence(self, now: float) -> float:
         """Return how far the recorded measurements still apply, 0 to 1.
--- a/medlarhoist/node/proxy/attempt.py
+++ b/medlarhoist/node/proxy/attempt.py
@@ -10,6 +10,7 @@
 from msgspec.structs import replace
 
 from medlarhoist.core.admission import Load
+from medlarhoist.core.condition import Condition
 from medlarhoist.core.head_check import Framing
 from medlarhoist.core.headers import Header
 from medlarhoist.core.verdict import Verdict
@@ -35,6 +36,7 @@
         load: load of the target, as its node reported it with the refusal;
             None if it reported none.
         return_s: value of Retry-After, seconds; zero for no such header.
+        condition: what the target last stated of itself, None if unknown.
     """
 
     verdict: Verdict
@@ -44,6 +46,7 @@
     has_arrived: bool = False
     load: Load | None = None
     return_s: float = 0
+    condition: Condition | None = None
 
 
 def failure_for_caller(failure: Failure, verdict: Verdict) -> Failure:
--- a/medlarhoist/node/proxy/entry.py
+++ b/medlarhoist/node/proxy/entry.py
@@ -12,7 +12,7 @@
 
 from msgspec import Struct, field
 
-from medlarhoist.core.balance import SelectionContext, is_full
+from medlarhoist.core.balance import SelectionContext
 from medlarhoist.core.budget import RetryBudgets
 from medlarhoist.core.compile import Compiled
 from medlarhoist.core.header_names import (
@@ -37,7 +37,10 @@
 from medlarhoist.node.proxy.local import ForwardedCall, LocalTarget
 from medlarhoist.node.proxy.observer import Observer
 from medlarhoist.node.proxy.relay import refuse, relay
-from medlarhoist.node.proxy.remote import RemoteNodes
+from medlarhoist.node.proxy.remote import (
+    RemoteNodes,
+    read_reported_condition,
+)
 from medlarhoist.node.proxy.response import Response
 from medlarhoist.node.proxy.target_selector import TargetSelector
 
@@ -325,7 +328,7 @@
         if target is None:
             return False
         view = self._parts.selector.views[target.address]
-        if is_full(view.present_load(target.slots, now)):
+        if view.present_load(target.slots, now).is_full:
             return False
         return self._budgets.try_consume(call.service)
 
@@ -338,19 +341,25 @@
 
     async def _send(self, call: Call, target: Target) -> Response | Failure:
         self._attempt_count += 1
+        view = self._parts.selector.views[target.address]
         forwarded = ForwardedCall(
             request_id=f'{self._id_prefix}-{self._attempt_count}'.encode(),
             service=call.service,
             label=call.label,
             need=call.build_requirements(target.domain != self._parts.domain),
+            condition=view.condition,
         )
         if target.address == self._parts.peer_address:
-            return await self._parts.local.send(call.request, forwarded)
-        return await self._parts.remote.send(
+            outcome = await self._parts.local.send(call.request, forwarded)
+            view.condition = self._parts.local.stated.condition
+            return outcome
+        outcome = await self._parts.remote.send(
             target.address,
             call.request,
             forwarded,
         )
+        view.condition = read_reported_condition(outcome) or view.condition
+        return outcome
 
     async def _relay_response(
         self,
--- a/medlarhoist/node/proxy/limit_test.py
+++ b/medlarhoist/node/proxy/limit_test.py
@@ -22,8 +22,7 @@
         plan = Plan(
             addresses=tuple(mesh.settings[index].entry for index in indexes),
             rate=200.0,
-            seconds=1.0,
-            **changes,
+            **{'seconds': 1.0, **changes},
         )
         began = time.monotonic()
         summary = await run_load(plan)
@@ -70,7 +69,7 @@
         await mesh.get()
         await mesh.restart(1)
         before = len(mesh.records[1].ran)
-        _, seconds = await load(mesh, prefix='after')
+        _, seconds = await load(mesh, prefix='after', seconds=2.5)
         return seconds, len(mesh.records[1].ran) - before
 
     seconds, arrivals = run_mesh(scenario)
--- a/medlarhoist/node/proxy/local.py
+++ b/medlarhoist/node/proxy/local.py
@@ -16,6 +16,12 @@
     Load,
     retry_after_seconds,
 )
+from medlarhoist.core.condition import (
+    NO_CONDITION,
+    Condition,
+    RunCondition,
+    read_condition,
+)
 from medlarhoist.core.deadline import left_for_next_hop_ms
 from medlarhoist.core.header_names import (
     HeaderNames,
@@ -47,12 +53,14 @@
         service: name of the service.
         label: version that the entry node selected, empty for any.
         need: requirements of the call: deadline, objective and priority.
+        condition: what the target has stated of itself to the entry node.
     """
 
     request_id: bytes
     service: str
     label: str
     need: CallRequirements
+    condition: Condition = NO_CONDITION
 
     @property
     def deadline(self) -> float:
@@ -67,6 +75,7 @@
         mismatched: responses that did not belong to their request.
         malformed: responses that were no HTTP, or had bytes after their end.
         refused: calls that this node refused without sending them.
+        stated: what the present run of the target has stated of itself.
     """
 
     __slots__ = (
@@ -81,6 +90,7 @@
         'malformed',
         'mismatched',
         'refused',
+        'stated',
     )
 
     def __init__(
@@ -103,6 +113,9 @@
         self._running: set[str] = set()
         self._slots = Slots(self._count_slots)
         self._is_draining = False
+        self.stated = RunCondition(
+            lambda condition: self._slots.set_rate(condition.rate),
+        )
         self.refused = 0
         self.mismatched = 0
         self.malformed = 0
@@ -140,6 +153,7 @@
             self._slots.refuse_waiters()
         if notice is None:
             return
+        self.stated.start_run(notice.run_key)
         if before is None or not is_same_run(before, notice):
             self._pool.close_idle()
             self._pool = ConnectionPool(
@@ -167,6 +181,7 @@
             The response, whose close must be called, or the failure.
         """
         caller_id = read_request_id(self._header_names, request.headers)
+        self.stated.adopt(call.condition)
         reason = await self._acquire_slot(call)
         if reason:
             self.refused += 1
@@ -178,8 +193,10 @@
                 reason,
                 load=load,
                 return_s=retry_after_seconds(load, self._rng),
+                condition=self.stated.known,
             )
         started = time.monotonic()
+        run_key = self.stated.run_key
         sent = structs.replace(
             self._add_headers(request, call),
             caller_id=caller_id,
@@ -206,7 +223,7 @@
                 is_sample=is_sample,
             ),
         )
-        return self._check_response(outcome, sent, call)
+        return self._check_response(outcome, sent, call, run_key)
 
     def sweep(self, now: float) -> None:
         """Close connections that have been idle for too long.
@@ -243,6 +260,7 @@
         response: Response,
         sent: Request,
         call: ForwardedCall,
+        run_key: str,
     ) -> Response | Failure:
         headers = response.head.headers
         echoed = find_header(headers, REQUEST_HEADER)
@@ -255,12 +273,14 @@
             self.mismatched += 1
             response.discard()
             return Failure(Verdict.MAY_HAVE_RUN, 'crossed answer', 502)
+        self.stated.record(read_condition(self._header_names, run_key, headers))
         if is_refusal(self._header_names, response.head.status, headers):
             response.close()
             return Failure(
                 Verdict.DID_NOT_RUN,
                 'refused by the target',
                 has_arrived=True,
+                condition=self.stated.known,
             )
         return response
 
@@ -284,7 +304,8 @@
         if reason:
             return reason
         if not await self._slots.acquire(call.need):
-            return 'no slot'
+            is_limited = self._slots.load.delay_s > 0
+            return 'over the limit of the target' if is_limited else 'no slot'
         # During the wait the target may have been replaced by another one.
         reason = self._find_refusal_reason(call)
         if reason:
--- a/medlarhoist/node/proxy/peer.py
+++ b/medlarhoist/node/proxy/peer.py
@@ -5,8 +5,14 @@
 from collections.abc import Callable
 from typing import Final
 
+from medlarhoist.core.condition import (
+    NO_CONDITION,
+    format_condition,
+    parse_condition,
+)
 from medlarhoist.core.deadline import parse_left_ms
 from medlarhoist.core.headers import (
+    CONDITION_HEADER,
     DEADLINE_HEADER,
     DOMAIN_HEADER,
     LABEL_HEADER,
@@ -121,8 +127,11 @@
             refuse(exchange, outcome, echo)
             return
         try:  # noqa: WPS501
-            load = (LOAD_HEADER, format_load(self._local.load))
-            await relay(exchange, outcome, (*echo, load))
+            extra = [*echo, (LOAD_HEADER, format_load(self._local.load))]
+            condition = self._local.stated.condition
+            if condition.is_restricted:
+                extra.append((CONDITION_HEADER, format_condition(condition)))
+            await relay(exchange, outcome, extra)
         finally:
             outcome.close()
 
@@ -144,6 +153,8 @@
                 now,
                 is_spilled=headers.get(DOMAIN_HEADER) != self._domain,
             ),
+            condition=parse_condition(headers.get(CONDITION_HEADER))
+            or NO_CONDITION,
         )
 
     def _is_authentic(self, token: bytes) -> bool:
--- a/medlarhoist/node/proxy/relay.py
+++ b/medlarhoist/node/proxy/relay.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Iterable
 
+from medlarhoist.core.condition import format_condition
 from medlarhoist.core.head_check import Framing
 from medlarhoist.core.headers import (
     ARRIVED_HEADER,
+    CONDITION_HEADER,
     LOAD_HEADER,
     REASON_HEADER,
     RETRY_AFTER_HEADER,
@@ -83,6 +85,9 @@
         headers.append((RETRY_AFTER_HEADER, b'%.3f' % failure.return_s))
     if failure.load is not None:
         headers.append((LOAD_HEADER, format_load(failure.load)))
+    if failure.condition is not None:
+        condition = format_condition(failure.condition)
+        headers.append((CONDITION_HEADER, condition))
     if failure.has_arrived:
         headers.append((ARRIVED_HEADER, b'1'))
     exchange.respond(failure.status, headers, b'%b\n' % reason)
--- a/medlarhoist/node/proxy/remote.py
+++ b/medlarhoist/node/proxy/remote.py
@@ -6,9 +6,16 @@
 
 from msgspec import structs
 
+from medlarhoist.core.condition import (
+    NO_CONDITION,
+    Condition,
+    format_condition,
+    parse_condition,
+)
 from medlarhoist.core.deadline import left_for_next_hop_ms
 from medlarhoist.core.headers import (
     ARRIVED_HEADER,
+    CONDITION_HEADER,
     DEADLINE_HEADER,
     DOMAIN_HEADER,
     LABEL_HEADER,
@@ -143,7 +150,7 @@
 
     def _format_call_headers(self, call: ForwardedCall) -> list[Header]:
         left_ms = left_for_next_hop_ms(call.deadline, time.monotonic())
-        return [
+        headers = [
             (REQUEST_HEADER, call.request_id),
             (DEADLINE_HEADER, b'%d' % left_ms),
             (SERVICE_HEADER, call.service.encode()),
@@ -155,6 +162,10 @@
             (DOMAIN_HEADER, self._domain),
             (TOKEN_HEADER, self._make_token()),
         ]
+        if call.condition.is_restricted:
+            condition = format_condition(call.condition)
+            headers.append((CONDITION_HEADER, condition))
+        return headers
 
     def _make_token(self) -> bytes:
         """Return the token of the present second, made once a second."""
@@ -165,6 +176,20 @@
         return self._token[1]
 
 
+def read_reported_condition(outcome: Response | Failure) -> Condition | None:
+    """Return the condition of the target that its node has reported.
+
+    Nodes report it with a response only if it restricts calls.
+
+    Returns:
+        The condition, None if a failure brought none.
+    """
+    if isinstance(outcome, Failure):
+        return outcome.condition
+    value = find_header(outcome.head.headers, CONDITION_HEADER)
+    return parse_condition(value) or NO_CONDITION
+
+
 def _check_response(
     response: Response,
     request_id: bytes,
@@ -192,6 +217,7 @@
         has_arrived=find_header(head.headers, ARRIVED_HEADER) is not None,
         load=parse_load(find_header(head.headers, LOAD_HEADER)),
         return_s=_parse_seconds(find_header(head.headers, RETRY_AFTER_HEADER)),
+        condition=parse_condition(find_header(head.headers, CONDITION_HEADER)),
     )
 
 
--- a/medlarhoist/node/proxy/slots.py
+++ b/medlarhoist/node/proxy/slots.py
@@ -23,6 +23,7 @@
     can_finish_in_time,
     queue_key,
 )
+from medlarhoist.core.rate_limit import RateLimiter
 
 CANCEL_HOLD_S: Final = 0.05
 _SMOOTHING: Final = 0.1
@@ -60,8 +61,10 @@
     __slots__ = (
         '_class_mean_s',
         '_count',
+        '_limiter',
         '_mean_s',
         '_sample_count',
+        '_timer',
         '_waiters',
         'peak',
         'used',
@@ -75,7 +78,9 @@
         """
         self._mean_s = INITIAL_BUSY_S
         self._count = count
+        self._limiter = RateLimiter()
         self._sample_count = 0
+        self._timer: asyncio.TimerHandle | None = None
         self._class_mean_s: dict[tuple[bool, int], float] = {}
         self._waiters: list[_Waiter] = []
         self.peak = 0
@@ -89,8 +94,15 @@
             self.used,
             len(self._waiters),
             self._mean_s,
+            self._limiter.rate,
+            self._limiter.delay_s(time.monotonic()),
         )
 
+    def set_rate(self, rate: float) -> None:
+        """Limit the requests per second; zero for no limit."""
+        self._limiter.set_rate(rate, time.monotonic())
+        self._start_waiters()
+
     async def acquire(self, requirements: CallRequirements) -> bool:
         """Acquire a slot, at once or after a wait in the queue.
 
@@ -113,8 +125,7 @@
             return False
         if admission is Admission.WAIT:
             return await self._wait(_Waiter(requirements, key))
-        self.used += 1
-        self.peak = max(self.peak, self.used)
+        self._occupy(now)
         return True
 
     def release(self) -> None:
@@ -123,11 +134,9 @@
         Calls that waited for longer than predicted and cannot finish in time
         any more are refused first, so that later ones still can.
         """
-        self._refuse_late(0)
-        while self._waiters and self.used <= self._count():
-            if self._waiters.pop(0).resolve(has_slot=True):
-                return
         self.used -= 1
+        self._refuse_late(0)
+        self._start_waiters()
 
     def release_later(self) -> None:
         """Free a slot after CANCEL_HOLD_S, in which the target can cancel.
@@ -181,10 +190,38 @@
         for waiter in waiters:
             waiter.resolve(has_slot=False)
 
+    def _occupy(self, now: float) -> None:
+        """Use a slot for a request that starts now."""
+        self._limiter.take(now)
+        self.used += 1
+        self.peak = max(self.peak, self.used)
+
+    def _start_waiters(self) -> None:
+        """Give free slots to the queue, as fast as the limit allows."""
+        now = time.monotonic()
+        while self._waiters and self.used < self._count():
+            delay_s = self._limiter.delay_s(now)
+            if delay_s:
+                self._wake_after(delay_s)
+                return
+            if self._waiters.pop(0).resolve(has_slot=True):
+                self._occupy(now)
+
+    def _wake_after(self, delay_s: float) -> None:
+        if self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(delay_s, self._wake)
+
+    def _wake(self) -> None:
+        self._timer = None
+        self._refuse_late(0)
+        self._start_waiters()
+
     async def _wait(self, waiter: _Waiter) -> bool:
         """Wait in the queue; return whether the call has got a slot."""
         insort(self._waiters, waiter, key=_QUEUE_KEY)
         self._refuse_late(self._waiters.index(waiter) + 1)
+        self._start_waiters()
         try:
             return await waiter.fut
         except asyncio.CancelledError:
--- a/medlarhoist/platform/names.py
+++ b/medlarhoist/platform/names.py
@@ -27,6 +27,7 @@
     nesting='.',
     refusal=b'x-not-executed',
     refusal_statuses=frozenset((MISDIRECTED_STATUS,)),
+    rate_limit=b'server-limit',
 )
 
 # No state means warming: a target that is still slow after its start reports
