Send no call to a target that has stated that it leaves

Calls reached a target after an entry node had passed on its response with the statement that it leaves.

Cause: nothing read that header; a leave was known from notices only, which the target's node forgets when it restarts and which may arrive late.

Change: the statement is part of the condition of the run, and no run takes it back. The target's node refuses its calls and announces it as draining, whatever later notices say. An entry node passes over the target until its node announces another run, and names the run in its calls then, so that a node that restarted beside the same run refuses them. Targets without a run id are excepted, as they could not be told from the next run. Ruled out: run ids in the registry, which cost bytes for each target everywhere.

--- a/medlarhoist/core/balance.py
+++ b/medlarhoist/core/balance.py
@@ -114,7 +114,12 @@
         context: time left and averages of the route.
         rng: source of randomness.
     """
-    ready = [target for target in targets if target.phase is TargetPhase.READY]
+    ready = [
+        target
+        for target in targets
+        if target.phase is TargetPhase.READY
+        and not views[target.address].is_leaving(target)
+    ]
     local = [target for target in ready if target.domain == location.domain]
     remote = [target for target in ready if target.domain != location.domain]
     local = _without_ejected(local, views, context.now)
--- a/medlarhoist/core/condition.py
+++ b/medlarhoist/core/condition.py
@@ -11,14 +11,15 @@
 from urllib.parse import quote, unquote
 
 from msgspec import Struct
+from msgspec.structs import replace
 
-from medlarhoist.core.header_names import HeaderNames
+from medlarhoist.core.header_names import HeaderNames, is_flagged
 from medlarhoist.core.headers import Header, find_header
 
 # A target names the end of its limit only in responses, so it gets a request
 # now and then, whatever its limit is.
 MIN_RATE: Final = 0.5
-_FIELDS: Final = 2
+_FIELDS: Final = 3
 
 
 class Condition(Struct, frozen=True):
@@ -28,15 +29,17 @@
         run_key: key of the run; empty for a target without run id.
         rate: requests per second that it accepts from all nodes together,
             zero for no limit.
+        is_leaving: whether it leaves, which no run takes back.
     """
 
     run_key: str = ''
     rate: float = 0
+    is_leaving: bool = False
 
     @property
     def is_restricted(self) -> bool:
         """Return whether the target states anything that restricts calls."""
-        return self.rate > 0
+        return self.is_leaving or self.rate > 0
 
 
 NO_CONDITION: Final = Condition()
@@ -83,15 +86,22 @@
             self._change(condition)
 
     def adopt(self, condition: Condition) -> None:
-        """Adopt what an entry node reports before there is a response.
+        """Adopt what an entry node reports of the same run.
 
-        After a restart of this node, entry nodes know of more responses.
+        After a restart of this node, entry nodes know of more responses. From
+        the first response on, only a leave is adopted.
         """
-        is_same_run = self.run_key and condition.run_key == self.run_key
-        if is_same_run and not self._has_response:
+        if not self.run_key or condition.run_key != self.run_key:
+            return
+        if not self._has_response:
             self._change(condition)
+        elif condition.is_leaving:
+            self._change(replace(self.condition, is_leaving=True))
 
     def _change(self, condition: Condition) -> None:
+        if condition.run_key == self.condition.run_key:
+            is_leaving = condition.is_leaving or self.condition.is_leaving
+            condition = replace(condition, is_leaving=is_leaving)
         if condition != self.condition:
             self.condition = condition
             self._on_change(condition)
@@ -104,7 +114,8 @@
 ) -> Condition:
     """Return what a response of a target states.
 
-    A limit that is not a number, or below zero, is ignored.
+    A limit that is not a number, or below zero, is ignored. So is a leave of
+    a target without run id, since it could not be told from the next run.
 
     Args:
         names: header names of the node.
@@ -112,13 +123,17 @@
         headers: headers of the response.
     """
     rate = _parse_rate(find_header(headers, names.rate_limit))
-    return Condition(run_key, 0 if rate is None else max(MIN_RATE, rate))
+    return Condition(
+        run_key,
+        0 if rate is None else max(MIN_RATE, rate),
+        bool(run_key) and is_flagged(headers, names.leaving),
+    )
 
 
 def format_condition(condition: Condition) -> bytes:
     """Return the header value by which nodes send a condition."""
     run_key = quote(condition.run_key).encode()
-    return b'%.3f %b' % (condition.rate, run_key)
+    return b'%.3f %d %b' % (condition.rate, condition.is_leaving, run_key)
 
 
 def parse_condition(value: bytes | None) -> Condition | None:
@@ -127,7 +142,8 @@
     rate = _parse_rate(words[0])
     if len(words) != _FIELDS or rate is None:
         return None
-    return Condition(unquote(words[1].decode('latin-1')), rate)
+    run_key = unquote(words[2].decode('latin-1'))
+    return Condition(run_key, rate, words[1] == b'1')
 
 
 def _parse_rate(value: bytes | None) -> float | None:
--- a/medlarhoist/core/condition_test.py
+++ b/medlarhoist/core/condition_test.py
@@ -49,13 +49,15 @@
 
 @pytest.mark.parametrize(
     'condition',
-    [LIMITED, Condition('a b\r\n/é'), Condition(rate=3)],
+    [LIMITED, Condition('a b\r\n/é', 0, is_leaving=True), Condition(rate=3)],
 )
 def test_a_condition_reaches_other_nodes_unchanged(condition):
     assert parse_condition(format_condition(condition)) == condition
 
 
-@pytest.mark.parametrize('value', [None, b'', b'x i-1', b'-1 i-1', b'1 2 3'])
+@pytest.mark.parametrize(
+    'value', [None, b'', b'1 0', b'x 0 i-1', b'-1 0 i-1', b'1 0 a b']
+)
 def test_a_malformed_condition_is_ignored(value):
     assert parse_condition(value) is None
 
@@ -76,6 +78,28 @@
     assert changes == [LIMITED, Condition(LIMITED.run_key)]
 
 
+def test_no_run_takes_its_leave_back(run):
+    stated, _ = run
+    stated.adopt(Condition(LIMITED.run_key, is_leaving=True))
+    stated.record(LIMITED)
+    assert stated.condition == Condition(LIMITED.run_key, 12.5, True)
+    stated.start_run('i-2/9')
+    assert stated.condition == NO_CONDITION
+
+
+def test_a_leave_that_an_entry_node_knows_of_counts_at_any_time(run):
+    stated, _ = run
+    stated.record(LIMITED)
+    stated.adopt(Condition(LIMITED.run_key, is_leaving=True))
+    assert stated.condition == Condition(LIMITED.run_key, 12.5, True)
+
+
+def test_a_leave_of_a_target_without_run_id_is_ignored():
+    headers = ((DEFAULT_HEADER_NAMES.leaving, b'1'),)
+    stated = read_condition(DEFAULT_HEADER_NAMES, '', headers)
+    assert not stated.is_leaving
+
+
 def test_reports_of_a_target_without_run_id_are_ignored():
     stated = RunCondition(lambda condition: None)
     stated.adopt(Condition(rate=1))
--- a/medlarhoist/core/header_names.py
+++ b/medlarhoist/core/header_names.py
@@ -33,6 +33,7 @@
             without a header.
         rate_limit: set by a target on each response while it accepts a limited
             number of requests per second, a decimal number.
+        leaving: set by a target on each response once it leaves.
     """
 
     deadline: bytes = b'x-deadline-ms'
@@ -43,6 +44,7 @@
     refusal: bytes = b'x-did-not-run'
     refusal_statuses: frozenset[int] = frozenset()
     rate_limit: bytes = b'x-request-limit'
+    leaving: bytes = b'x-target-leaving'
 
 
 DEFAULT_HEADER_NAMES: Final = HeaderNames()
@@ -93,12 +95,13 @@
     """
     if status in names.refusal_statuses:
         return True
-    flag = find_header(headers, names.refusal)
-    return (
-        status >= ERROR_STATUS
-        and flag is not None
-        and flag not in _FALSE_VALUES
-    )
+    return status >= ERROR_STATUS and is_flagged(headers, names.refusal)
+
+
+def is_flagged(headers: Sequence[Header], name: bytes) -> bool:
+    """Return whether a header is present with a value that is not false."""
+    flag = find_header(headers, name)
+    return flag is not None and flag not in _FALSE_VALUES
 
 
 def is_mismatched_response(
--- a/medlarhoist/core/target_view.py
+++ b/medlarhoist/core/target_view.py
@@ -7,6 +7,7 @@
 
 from medlarhoist.core.admission import INITIAL_BUSY_S, Load
 from medlarhoist.core.condition import NO_CONDITION, Condition
+from medlarhoist.core.target import Target
 
 SMOOTHING: Final = 0.2
 # Lower than SMOOTHING, which is that of latency, so that a single failure is
@@ -45,10 +46,12 @@
         load_reported_at: time of that report, seconds.
         sent_since_report: calls sent to it from here since that report.
         condition: what it has stated of itself in its last response.
+        condition_since_ms: `since_ms` of the target when it was recorded.
     """
 
     __slots__ = (
         'condition',
+        'condition_since_ms',
         'ejected_until',
         'failure_rate',
         'failures',
@@ -76,6 +79,7 @@
         self.load_reported_at = NEVER_S
         self.sent_since_report = 0
         self.condition: Condition = NO_CONDITION
+        self.condition_since_ms = 0
 
     def record_send(self, now: float) -> None:
         """Record that a call is sent to the target."""
@@ -83,6 +87,25 @@
         self.sent_since_report += 1
         self.used_at = now
 
+    def record_condition(self, condition: Condition, since_ms: int) -> None:
+        """Record what the target has stated, or its node has reported.
+
+        Args:
+            condition: what it states of itself.
+            since_ms: when its node received the first notice of its run.
+        """
+        self.condition = condition
+        self.condition_since_ms = since_ms
+
+    def is_leaving(self, target: Target) -> bool:
+        """Return whether this run of a target has stated that it leaves.
+
+        False where its node has announced a run since then. That can be the
+        same run after a restart of the node, which refuses the calls then.
+        """
+        is_same_run = target.since_ms == self.condition_since_ms
+        return self.condition.is_leaving and is_same_run
+
     def record_load(self, load: Load, now: float) -> None:
         """Record a load report of the target's node."""
         self.load = load
--- a/medlarhoist/node/app.py
+++ b/medlarhoist/node/app.py
@@ -78,6 +78,7 @@
             self._registry,
             self._proxy.set_local_target,
         )
+        self._proxy.on_target_leaving(self.target_registration.mark_leaving)
 
     @property
     def is_ready(self) -> bool:
--- a/medlarhoist/node/proxy/entry.py
+++ b/medlarhoist/node/proxy/entry.py
@@ -351,14 +351,16 @@
         )
         if target.address == self._parts.peer_address:
             outcome = await self._parts.local.send(call.request, forwarded)
-            view.condition = self._parts.local.stated.condition
+            condition = self._parts.local.stated.condition
+            view.record_condition(condition, target.since_ms)
             return outcome
         outcome = await self._parts.remote.send(
             target.address,
             call.request,
             forwarded,
         )
-        view.condition = read_reported_condition(outcome) or view.condition
+        condition = read_reported_condition(outcome) or view.condition
+        view.record_condition(condition, target.since_ms)
         return outcome
 
     async def _relay_response(
--- a/medlarhoist/node/proxy/local.py
+++ b/medlarhoist/node/proxy/local.py
@@ -75,6 +75,7 @@
         mismatched: responses that did not belong to their request.
         malformed: responses that were no HTTP, or had bytes after their end.
         refused: calls that this node refused without sending them.
+        on_leaving: called with the key of a run that states that it leaves.
         stated: what the present run of the target has stated of itself.
     """
 
@@ -89,6 +90,7 @@
         '_slots',
         'malformed',
         'mismatched',
+        'on_leaving',
         'refused',
         'stated',
     )
@@ -113,9 +115,8 @@
         self._running: set[str] = set()
         self._slots = Slots(self._count_slots)
         self._is_draining = False
-        self.stated = RunCondition(
-            lambda condition: self._slots.set_rate(condition.rate),
-        )
+        self.on_leaving: Callable[[str], None] = _ignore
+        self.stated = RunCondition(self._apply_condition)
         self.refused = 0
         self.mismatched = 0
         self.malformed = 0
@@ -211,7 +212,7 @@
             # Nested calls are made before the response, not after it.
             self._running.discard(caller_id)
         if isinstance(outcome, Failure):
-            self._free_slot_after(outcome)
+            _release_after(self._slots, outcome)
             return outcome
         # Quick failures must not lower the mean time of a call.
         is_sample = outcome.head.status < SERVER_FAULT_STATUS
@@ -325,11 +326,22 @@
             return 'another target is here'
         if notice.phase is not TargetPhase.READY:
             return f'target is {notice.phase}'
-        return ''
+        return 'target is leaving' if self.stated.condition.is_leaving else ''
 
-    def _free_slot_after(self, failure: Failure) -> None:
-        """Release a slot, later if the target may still use it."""
-        if failure.verdict is Verdict.DID_NOT_RUN:
-            self._slots.release()
-        else:
-            self._slots.release_later()
+    def _apply_condition(self, condition: Condition) -> None:
+        self._slots.set_rate(condition.rate)
+        if condition.is_leaving:
+            self._slots.refuse_waiters()
+            self.on_leaving(condition.run_key)
+
+
+def _release_after(slots: Slots, failure: Failure) -> None:
+    """Release a slot, later if the target may still use it."""
+    if failure.verdict is Verdict.DID_NOT_RUN:
+        slots.release()
+    else:
+        slots.release_later()
+
+
+def _ignore(run_key: str) -> None:
+    """Ignore that a run leaves."""
--- a/medlarhoist/node/proxy/proxy.py
+++ b/medlarhoist/node/proxy/proxy.py
@@ -148,6 +148,13 @@
         """
         self._parts.local.set_notice(notice)
 
+    def on_target_leaving(self, callback: Callable[[str], None]) -> None:
+        """Set the callback for a run of the target that states that it leaves.
+
+        It is called with the key of the run.
+        """
+        self._parts.local.on_leaving = callback
+
     async def start(self) -> None:
         """Listen on both addresses.
 
--- a/medlarhoist/node/target_registration.py
+++ b/medlarhoist/node/target_registration.py
@@ -42,6 +42,7 @@
 
     __slots__ = (
         '_cfg',
+        '_leaving_run',
         '_registry',
         '_set_target',
         '_tasks',
@@ -63,6 +64,7 @@
             set_target: updates the proxy to a notice, None for no target.
         """
         self._cfg = cfg
+        self._leaving_run = ''
         self._registry = registry
         self._set_target = set_target
         self._tasks: list[asyncio.Task[None]] = []
@@ -86,6 +88,19 @@
         self.is_leaving = True
         self._announce()
 
+    def mark_leaving(self, run_key: str) -> None:
+        """Announce a run as draining, since it states that it leaves.
+
+        Its notices may still report it as ready.
+
+        Args:
+            run_key: key of the run.
+        """
+        if run_key != self._leaving_run:
+            self._leaving_run = run_key
+            logger.bind(run=run_key).info('target: states that it leaves')
+            self._announce()
+
     def receive(self, notice: TargetNotice) -> None:
         """Apply a notice of the target; an outdated one is ignored."""
         if is_outdated(self.presence, notice):
@@ -132,10 +147,13 @@
         self._registry.withdraw()
 
     def _announce(self) -> None:
+        notice = self.presence.notice
+        run_key = notice.run_key if notice else ''
+        has_left = bool(run_key) and run_key == self._leaving_run
         target = advertised_target(
             self._cfg,
             self.presence,
-            is_leaving=self.is_leaving,
+            is_leaving=self.is_leaving or has_left,
         )
         if target is not None:
             self._registry.announce(target)
--- /dev/null
+++ b/medlarhoist/node/target_registration_test.py
@@ -0,0 +1,49 @@
+"""Tests of what a node announces of the target beside it."""
+
+import pytest
+from msgspec.structs import replace
+
+from bench.calls_static import create_settings
+from medlarhoist.core.target import TargetNotice, TargetPhase
+from medlarhoist.node.gossip import create_membership
+from medlarhoist.node.registry import create_registry
+from medlarhoist.node.target_registration import TargetRegistration
+
+NOTICE = TargetNotice(
+    service='bookings',
+    label='v1',
+    port=1,
+    slots=1,
+    phase=TargetPhase.READY,
+    run_id='i-1',
+    born_ms=5,
+    sequence=1,
+)
+
+
+@pytest.fixture(name='announced')
+def _announced():
+    """Return a registration, and a function that returns announced phases."""
+    cfg = create_settings('n0', 'a')
+    registry = create_registry(create_membership(cfg, 0))
+    registration = TargetRegistration(cfg, registry, lambda notice: None)
+    registration.receive(NOTICE)
+    return registration, lambda: [
+        target.phase for target in registry.local_targets()
+    ]
+
+
+def test_a_run_that_states_that_it_leaves_is_announced_as_draining(announced):
+    registration, phases = announced
+    assert phases() == [TargetPhase.READY]
+    registration.mark_leaving(NOTICE.run_key)
+    registration.receive(replace(NOTICE, sequence=2))
+    assert phases() == [TargetPhase.DRAINING]
+
+
+def test_the_next_run_is_announced_as_ready(announced):
+    registration, phases = announced
+    registration.mark_leaving(NOTICE.run_key)
+    registration.remove(NOTICE.run_id, NOTICE.born_ms)
+    registration.receive(replace(NOTICE, born_ms=6))
+    assert phases() == [TargetPhase.READY]
--- a/medlarhoist/platform/boundary_test.py
+++ b/medlarhoist/platform/boundary_test.py
@@ -14,7 +14,7 @@
             '/medlarhoist/(ready|config|rollouts|instances)',
             'x-attempt-id|x-caller-service|x-expected-instance',
             'x-not-executed|x-instance-id|x-response-signature',
-            'server-limit',
+            'server-limit|server-leaving',
             'MEDLARHOIST_SETTINGS',
             'virtual_hosts|path_prefix|route_type|traffic_split',
             'target_latency_s|max_attempts|max_connections|health_path',
--- a/medlarhoist/platform/names.py
+++ b/medlarhoist/platform/names.py
@@ -28,6 +28,7 @@
     refusal=b'x-not-executed',
     refusal_statuses=frozenset((MISDIRECTED_STATUS,)),
     rate_limit=b'server-limit',
+    leaving=b'server-leaving',
 )
 
 # No state means warming: a target that is still slow after its start reports
