Show limits and leaves of targets in logs, metrics and the dump

An engineer on call could not tell a call refused for the limit of its target from one without a slot. Refusals name the limit and the time until the next turn, a line says when a limit begins and ends, and the gauge target_rate_limit holds it.

--- a/medlarhoist/node/metrics.py
+++ b/medlarhoist/node/metrics.py
@@ -59,6 +59,10 @@
 CALLS_WAITING: Final = Metric(
     name='calls_waiting', doc='Calls that wait for a slot.'
 )
+TARGET_RATE_LIMIT: Final = Metric(
+    name='target_rate_limit',
+    doc='Requests per second that the target of this VM accepts, 0 for any.',
+)
 CONNECTIONS: Final = Metric(
     name='connections',
     doc='Open connections by listener.',
@@ -90,6 +94,7 @@
     SLOTS,
     SLOTS_USED,
     CALLS_WAITING,
+    TARGET_RATE_LIMIT,
     CONNECTIONS,
     DOMAIN_MEMBERS,
     CONTROL_BYTES,
@@ -144,6 +149,7 @@
         (SLOTS, proxy.slots),
         (SLOTS_USED, proxy.slots_used),
         (CALLS_WAITING, proxy.waiting),
+        (TARGET_RATE_LIMIT, proxy.rate_limit),
     ):
         yield Sample(metric=metric, number=number)
     for listener, count in (
--- a/medlarhoist/node/metrics_test.py
+++ b/medlarhoist/node/metrics_test.py
@@ -55,6 +55,8 @@
     slots_used=3,
     slots_peak=9,
     waiting=0,
+    rate_limit=12.5,
+    is_target_leaving=False,
     refused=0,
     node_connections={},
     targets={},
@@ -77,6 +79,7 @@
     rendered = metrics.render().decode()
     assert 'medlarhoist_node_configuration_version 7' in rendered
     assert 'medlarhoist_slots_used 3' in rendered
+    assert 'medlarhoist_target_rate_limit 12.5' in rendered
     assert 'medlarhoist_connections{listener="peer"} 5' in rendered
     assert 'direction="sent",kind="Hello"} 90' in rendered
     assert '"refused"' in rendered
--- a/medlarhoist/node/proxy/call_log.py
+++ b/medlarhoist/node/proxy/call_log.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from medlarhoist.core.admission import Load
+from medlarhoist.core.condition import Condition
 from medlarhoist.node.proxy.attempt import Failure
 from medlarhoist.node.proxy.call import Call
 
@@ -91,10 +92,25 @@
         used=load.used,
         waiting=load.waiting,
         busy_ms=_to_ms(load.busy_s),
+        rate=load.rate,
+        delay_ms=_to_ms(load.delay_s),
         left_ms=_to_ms(left_s),
     ).info('target: refused a call')
 
 
+def log_limit(condition: Condition) -> None:
+    """Log that a target begins or ends to limit its requests per second.
+
+    Args:
+        condition: what the run of the target states now.
+    """
+    logger.bind(run=condition.run_key, rate=condition.rate).info(
+        'target: limits its requests per second'
+        if condition.rate
+        else 'target: limits its requests no longer',
+    )
+
+
 def log_malformed_response(caller_id: str, address: str, reason: str) -> None:
     """Log that a connection was closed for bytes that are no response.
 
--- a/medlarhoist/node/proxy/local.py
+++ b/medlarhoist/node/proxy/local.py
@@ -35,7 +35,7 @@
 from medlarhoist.core.target import TargetNotice, TargetPhase
 from medlarhoist.core.verdict import SERVER_FAULT_STATUS, Verdict
 from medlarhoist.node.proxy.attempt import Failure, Request
-from medlarhoist.node.proxy.call_log import log_refusal
+from medlarhoist.node.proxy.call_log import log_limit, log_refusal
 from medlarhoist.node.proxy.pool import ConnectionPool, send_request
 from medlarhoist.node.proxy.response import Response
 from medlarhoist.node.proxy.slots import Slots
@@ -329,6 +329,8 @@
         return 'target is leaving' if self.stated.condition.is_leaving else ''
 
     def _apply_condition(self, condition: Condition) -> None:
+        if bool(condition.rate) != bool(self.load.rate):
+            log_limit(condition)
         self._slots.set_rate(condition.rate)
         if condition.is_leaving:
             self._slots.refuse_waiters()
--- a/medlarhoist/node/proxy/proxy.py
+++ b/medlarhoist/node/proxy/proxy.py
@@ -62,6 +62,9 @@
         slots_used: slots in use.
         slots_peak: highest number of slots ever in use at once.
         waiting: calls that wait for a slot.
+        rate_limit: requests per second that the target accepts, zero for no
+            limit.
+        is_target_leaving: whether the target has stated that it leaves.
         refused: calls that this node refused for its target.
         node_connections: open connections to other nodes, by address.
         targets: observations of targets, by address.
@@ -79,6 +82,8 @@
     slots_used: int
     slots_peak: int
     waiting: int
+    rate_limit: float
+    is_target_leaving: bool
     refused: int
     node_connections: dict[str, int]
     targets: dict[str, 'SeenTarget']
@@ -233,6 +238,8 @@
             slots_used=load.used,
             slots_peak=self._parts.local.peak,
             waiting=load.waiting,
+            rate_limit=load.rate,
+            is_target_leaving=self._parts.local.stated.condition.is_leaving,
             refused=self._parts.local.refused,
             node_connections=self._parts.remote.count_connections(),
             targets={
