Remember at entry nodes which runs have left

A target that had left could be used again: where its node restarts, a notice of the target that was sent before and comes late is the first that the node hears, and nobody contradicts it until three heartbeats have been missed. Here leaving_test.py -k late_notice shows it: calls reach the target.

Cause: a leave was known to the target's node only, which keeps nothing across a restart; others just saw the target withdrawn.

Change: a target that has left, or has stated that it leaves, is announced as draining with the key of its run, for 10 s after it has left. Entry nodes record that as the condition of the run. They send it with their calls once the node announces a ready target again, and the node refuses if it is the same run. Only targets that leave carry the key, so others cost no more bytes.

--- a/medlarhoist/core/presence.py
+++ b/medlarhoist/core/presence.py
@@ -18,9 +18,9 @@
 
     Args:
         notice: the last notice, None without a target.
-        heard_seconds: monotonic time at which that notice was received.
-        since_ms: when the first notice of this run was received,
-            milliseconds since 1970.
+        heard_seconds: monotonic time at which the last notice was received.
+        since_ms: when the first notice of its run was received, milliseconds
+            since 1970.
         last: the newest notice, also of a target that was removed.
         has_left: whether the run of `last` has announced that it leaves.
     """
@@ -98,7 +98,12 @@
             further notices of the same run are outdated. A target that was
             only unresponsive may return.
     """
-    return Presence(last=presence.last, has_left=has_left)
+    return Presence(
+        heard_seconds=presence.heard_seconds,
+        since_ms=presence.since_ms,
+        last=presence.last,
+        has_left=has_left,
+    )
 
 
 def has_expired(
@@ -125,6 +130,7 @@
     presence: Presence,
     *,
     is_leaving: bool,
+    leaving_run: str = '',
 ) -> Target | None:
     """Return the target beside a node as the node announces it to others.
 
@@ -132,13 +138,22 @@
         cfg: settings of the node.
         presence: the presence of its target.
         is_leaving: whether the node itself stops, which drains its target.
+        leaving_run: key of a run that has stated that it leaves, empty for
+            none.
 
     Returns:
-        The target, None where the node has none.
+        The target, also one with a run id that has left; None where the node
+        has none.
     """
     notice = presence.notice
-    if notice is None:
+    has_left = presence.has_left
+    if notice is None and has_left:
+        notice = presence.last
+    if notice is None or (has_left and not notice.run_key):
         return None
+    has_left = has_left or notice.run_key == leaving_run
+    run_key = notice.run_key if has_left else ''
+    is_leaving = is_leaving or bool(run_key)
     return Target(
         node=cfg.name,
         domain=cfg.domain,
@@ -148,6 +163,7 @@
         slots=notice.slots,
         phase=TargetPhase.DRAINING if is_leaving else notice.phase,
         since_ms=presence.since_ms,
+        run_key=run_key,
     )
 
 
--- a/medlarhoist/core/summary.py
+++ b/medlarhoist/core/summary.py
@@ -92,16 +92,17 @@
 
 
 def sample_targets(targets: Iterable[Target]) -> tuple[Target, ...]:
-    """Return a bounded sample of the ready targets.
+    """Return a bounded sample of the targets that are ready or have left.
 
-    It holds up to `TARGETS_PER_VERSION` targets of each service and label, the
-    first by node name, each on another node. So every keeper with the same
-    targets returns the same sample.
+    It holds up to `TARGETS_PER_VERSION` targets of each service and label and
+    of either kind, the first by node name, each on another node. So every
+    keeper with the same targets returns the same sample.
     """
-    groups: dict[tuple[str, str], list[Target]] = {}
+    groups: dict[tuple[str, str, bool], list[Target]] = {}
     for target in targets:
-        if target.phase is TargetPhase.READY:
-            key = target.service, target.label
+        is_ready = target.phase is TargetPhase.READY
+        if is_ready or target.run_key:
+            key = target.service, target.label, is_ready
             groups.setdefault(key, []).append(target)
     sampled: list[Target] = []
     for _, group in sorted(groups.items()):
--- a/medlarhoist/core/target.py
+++ b/medlarhoist/core/target.py
@@ -40,6 +40,8 @@
         phase: warming, ready or draining.
         since_ms: when its node received the first notice of this run,
             milliseconds since 1970.
+        run_key: key of a run that has left, or has stated that it leaves;
+            empty for any other.
     """
 
     node: str
@@ -50,6 +52,7 @@
     slots: int
     phase: TargetPhase
     since_ms: int
+    run_key: str = ''
 
 
 class TargetNotice(Struct, frozen=True, kw_only=True):
--- a/medlarhoist/node/proxy/leaving_test.py
+++ b/medlarhoist/node/proxy/leaving_test.py
@@ -2,6 +2,10 @@
 
 import asyncio
 
+from msgspec.structs import replace
+
+from medlarhoist.core.target import TargetPhase
+
 LEAVING_CALLS = 10
 
 
@@ -52,6 +56,27 @@
     assert arrivals == 0
 
 
+def test_a_late_notice_does_not_bring_back_a_target_that_has_left(run_mesh):
+    """Its node has restarted and knows of no leave."""
+
+    async def scenario(mesh):
+        await mesh.add(registered=False)
+        await mesh.add()
+        target = mesh.registry.all_targets[0]
+        run_key = mesh.nodes[1]._parts.local.stated.run_key
+        left = replace(target, phase=TargetPhase.DRAINING, run_key=run_key)
+        mesh.registry.set_targets((left,))
+        statuses = await _get_some(mesh, 'left')
+        await mesh.restart(1)
+        mesh.registry.set_targets((replace(target, since_ms=1),))
+        statuses += await _get_some(mesh, 'after')
+        return statuses, mesh.records[1].ran
+
+    statuses, ran = run_mesh(scenario)
+    assert statuses == [503] * 2 * LEAVING_CALLS
+    assert not ran
+
+
 def test_the_next_run_at_the_address_of_a_leaving_one_is_used(run_mesh):
     async def scenario(mesh):
         await mesh.add(registered=False)
--- a/medlarhoist/node/proxy/target_selector.py
+++ b/medlarhoist/node/proxy/target_selector.py
@@ -15,6 +15,7 @@
     pick_target,
 )
 from medlarhoist.core.compile import Compiled
+from medlarhoist.core.condition import Condition
 from medlarhoist.core.interfaces import Registry, ShareLimiter
 from medlarhoist.core.resource import Service
 from medlarhoist.core.subset import choose_subset
@@ -177,4 +178,7 @@
         for target in selected:
             view = self.views.setdefault(target.address, TargetView())
             view.used_at = self._clock()
+            if target.run_key:
+                left = Condition(target.run_key, is_leaving=True)
+                view.record_condition(left, target.since_ms)
         return selected
--- a/medlarhoist/node/target_registration.py
+++ b/medlarhoist/node/target_registration.py
@@ -27,6 +27,8 @@
 from medlarhoist.utils.tasks import cancel_all
 
 POLL_SECONDS: Final = 0.25
+# Several times as long as announcements take to reach every failure domain.
+LEFT_SECONDS: Final = 10.0
 
 SetTarget = Callable[[TargetNotice | None], None]
 
@@ -43,6 +45,7 @@
     __slots__ = (
         '_cfg',
         '_leaving_run',
+        '_left_seconds',
         '_registry',
         '_set_target',
         '_tasks',
@@ -65,6 +68,7 @@
         """
         self._cfg = cfg
         self._leaving_run = ''
+        self._left_seconds = float()
         self._registry = registry
         self._set_target = set_target
         self._tasks: list[asyncio.Task[None]] = []
@@ -143,25 +147,37 @@
             return
         _log_notice(notice, f'target: no target any more, {reason}')
         self.presence = remove_target(self.presence, has_left=has_left)
+        self._left_seconds = monotonic_seconds()
         self._set_target(None)
-        self._registry.withdraw()
+        self._announce()
+
+    def expire(self, now: float) -> None:
+        """Withdraw a target that has left `LEFT_SECONDS` ago.
+
+        Args:
+            now: seconds of the monotonic clock.
+        """
+        has_left = self.presence.notice is None and self.presence.has_left
+        if has_left and now - self._left_seconds >= LEFT_SECONDS:
+            self._registry.withdraw()
 
     def _announce(self) -> None:
-        notice = self.presence.notice
-        run_key = notice.run_key if notice else ''
-        has_left = bool(run_key) and run_key == self._leaving_run
         target = advertised_target(
             self._cfg,
             self.presence,
-            is_leaving=self.is_leaving or has_left,
+            is_leaving=self.is_leaving,
+            leaving_run=self._leaving_run,
         )
-        if target is not None:
+        if target is None:
+            self._registry.withdraw()
+        else:
             self._registry.announce(target)
 
     async def _check_heartbeats(self) -> None:
         while True:
             await asyncio.sleep(POLL_SECONDS)
             now = monotonic_seconds()
+            self.expire(now)
             if has_expired(self.presence, now, self._cfg.heartbeat_ms):
                 self._remove_target(
                     'it has missed its heartbeats', has_left=False
--- a/medlarhoist/node/target_registration_test.py
+++ b/medlarhoist/node/target_registration_test.py
@@ -7,7 +7,11 @@
 from medlarhoist.core.target import TargetNotice, TargetPhase
 from medlarhoist.node.gossip import create_membership
 from medlarhoist.node.registry import create_registry
-from medlarhoist.node.target_registration import TargetRegistration
+from medlarhoist.node.target_registration import (
+    LEFT_SECONDS,
+    TargetRegistration,
+)
+from medlarhoist.utils.clock import monotonic_seconds
 
 NOTICE = TargetNotice(
     service='bookings',
@@ -41,6 +45,19 @@
     assert phases() == [TargetPhase.DRAINING]
 
 
+def test_a_target_that_has_left_is_announced_for_a_while(announced):
+    """Otherwise others use it again if its node restarts and hears it late."""
+    registration, phases = announced
+    registration.remove(NOTICE.run_id, NOTICE.born_ms)
+    target = registration._registry.local_targets()[0]
+    assert (target.phase, target.run_key) == (
+        TargetPhase.DRAINING,
+        NOTICE.run_key,
+    )
+    registration.expire(monotonic_seconds() + LEFT_SECONDS)
+    assert not phases()
+
+
 def test_the_next_run_is_announced_as_ready(announced):
     registration, phases = announced
     registration.mark_leaving(NOTICE.run_key)
