Play limits, leaves and restarts of nodes in the soak of calls

The soak had neither targets that name a limit or state that they leave, nor restarts of nodes beside running targets. It now checks that a target starts no request once nodes have heard that it leaves, and that a limited one gets no more than it accepts. Two tests show that it detects either fault with the mechanism taken out.

--- a/bench/calls_mesh.py
+++ b/bench/calls_mesh.py
@@ -1,6 +1,7 @@
 """Calls mesh: nodes with stand-in targets on one loop, for tests."""
 
 import asyncio
+from collections import Counter
 from typing import Any
 
 from bench.calls_static import (
@@ -15,6 +16,7 @@
     create_target,
 )
 from medlarhoist.core.compile import Compiled
+from medlarhoist.core.header_names import DEFAULT_HEADER_NAMES
 from medlarhoist.core.settings import NodeSettings
 from medlarhoist.core.target import TargetNotice, TargetPhase
 from medlarhoist.node.proxy import Proxy, create_proxy
@@ -26,6 +28,8 @@
     TargetState,
 )
 
+HEADER_NAMES = DEFAULT_HEADER_NAMES
+
 
 class Mesh:
     """Nodes with a target each, and the fakes that they share.
@@ -37,6 +41,7 @@
         nodes: proxies of the nodes, by index.
         settings: settings of the nodes, by index.
         targets: stand-in targets of the nodes, by index.
+        restarts: restarts of the nodes, by index.
     """
 
     def __init__(self, compiled: Compiled | None = None) -> None:
@@ -47,6 +52,8 @@
         self.nodes: list[Proxy] = []
         self.settings: list[NodeSettings] = []
         self.targets: list[TargetServer] = []
+        self.restarts: Counter[int] = Counter()
+        self._run_ids: dict[int, str] = {}
 
     async def add(
         self,
@@ -90,16 +97,26 @@
         Its target keeps running and announces itself at once.
         """
         await self.nodes[index].stop(linger_s=0, timeout_s=0)
+        self.restarts[index] += 1
         self.nodes[index] = self._create_proxy(self.settings[index])
         await self.nodes[index].start()
         self.notify(index, self.targets[index].port)
+        self.registry.renew(self.settings[index].peer)
+
+    def start_run(self, index: int, run_id: str) -> None:
+        """Start the next run of a target, at the same address."""
+        state = self.targets[index].state
+        state.is_leaving = False
+        state.stated_at = None
+        self._run_ids[index] = run_id
+        self.notify(index, self.targets[index].port)
+        self.registry.renew(self.settings[index].peer)
 
     def notify(
         self,
         index: int,
         port: int,
         phase: TargetPhase = TargetPhase.READY,
-        run_id: str = 'run-1',
     ) -> None:
         """Set the notice that a node has received from its target."""
         options = self.targets[index].state.options
@@ -110,7 +127,7 @@
                 port=port,
                 slots=options.slots,
                 phase=phase,
-                run_id=run_id,
+                run_id=self._run_ids.get(index, 'run-1'),
             ),
         )
 
@@ -171,6 +188,7 @@
             self.registry,
             self.recorder,
             StaticLimiter(),
+            HEADER_NAMES,
         )
 
 
--- a/bench/calls_soak.py
+++ b/bench/calls_soak.py
@@ -1,14 +1,16 @@
 """Calls soak: injects random faults into a mesh under load, by seed.
 
 Targets refuse, fail and slow down, connections are closed on every hop, and
-targets drain and become ready again, under load with mixed deadlines. At the
-end, the outcomes that callers received are compared with the requests that the
-targets recorded.
+targets drain and become ready again, leave and are replaced, nodes restart, and
+one target names a limit, under load with mixed deadlines. At the end, the
+outcomes that callers received are compared with the requests that the targets
+recorded.
 """
 
 import asyncio
 import random
 import sys
+import time
 from collections import Counter
 from collections.abc import Callable
 
@@ -23,7 +25,10 @@
 
 NODES = 4
 SLOTS = 6
+LIMIT = 3
+LIMITED = 0
 RATE = 60.0
+RESTART_SHARE = 0.03
 MAX_FAULT_INTERVAL_S = 0.05
 DEADLINES_MS = (5, 40, 400, 3000)
 
@@ -39,6 +44,9 @@
             not run", or did not run although it received status 200.
         crossed: mismatched responses, which belong to another request.
         peak: highest number of concurrent requests on one target.
+        after_leave: requests that a target started after its nodes had heard
+            that it leaves.
+        above_limit: requests above those that the limited target accepts.
         errors: errors that the nodes logged.
     """
 
@@ -48,6 +56,8 @@
     untrue: tuple[str, ...]
     crossed: int
     peak: int
+    after_leave: int = 0
+    above_limit: float = 0
     errors: int = 0
 
     @property
@@ -55,7 +65,11 @@
         """Return whether no invariant was violated."""
         are_outcomes_true = not self.repeated and not self.untrue
         is_clean = not self.crossed and not self.errors
-        return are_outcomes_true and is_clean and self.peak <= SLOTS
+        are_targets_heard = not self.after_leave and self.above_limit <= 0
+        is_within_slots = self.peak <= SLOTS
+        return all(
+            (are_outcomes_true, is_clean, are_targets_heard, is_within_slots)
+        )
 
 
 def _toggle_refusing(mesh: Mesh, number: int, rng: random.Random) -> None:
@@ -89,12 +103,24 @@
     mesh.notify(number, mesh.targets[number].port, phase)
 
 
+def _leave(mesh: Mesh, number: int, rng: random.Random) -> None:
+    if number != LIMITED:
+        mesh.targets[number].state.is_leaving = True
+
+
+def _replace_target(mesh: Mesh, number: int, rng: random.Random) -> None:
+    if number != LIMITED:
+        mesh.start_run(number, f'run-{rng.random()}')
+
+
 FAULTS: tuple[Callable[[Mesh, int, random.Random], None], ...] = (
     _toggle_refusing,
     _change_fault,
     _cut_target_connections,
     _reset_peer_connections,
     _change_phase,
+    _leave,
+    _replace_target,
 )
 
 
@@ -122,7 +148,11 @@
         )
         for deadline_ms in DEADLINES_MS
     ]
+    mesh.targets[LIMITED].state.limit = LIMIT
+    began = time.monotonic()
     while not all(load.done() for load in loads):
+        if rng.random() < RESTART_SHARE:
+            await mesh.restart(rng.randrange(NODES))
         fault = rng.choice(FAULTS)
         fault(mesh, rng.randrange(NODES), rng)
         await asyncio.sleep(MAX_FAULT_INTERVAL_S * rng.random())
@@ -130,7 +160,20 @@
     await mesh.close()
     logger.remove(sink)
     verdicts = compare_outcomes(mesh, summaries)
-    return structs.replace(verdicts, errors=len(errors))
+    excess = _count_excess(mesh, time.monotonic() - began)
+    return structs.replace(verdicts, errors=len(errors), above_limit=excess)
+
+
+def _count_excess(mesh: Mesh, seconds: float) -> float:
+    """Return the requests to the limited target that exceed what it accepts.
+
+    Until its first response after the start or a restart of its node, callers
+    of that node may fill its slots.
+    """
+    record = mesh.records[LIMITED]
+    arrivals = record.ran_count + record.shed
+    unheard = SLOTS * (1 + mesh.restarts[LIMITED])
+    return arrivals - unheard - 1.5 * LIMIT * seconds - 5
 
 
 def compare_outcomes(mesh: Mesh, summaries: list[Summary]) -> Verdicts:
@@ -157,6 +200,7 @@
         ),
         sum(load_summary.crossed for load_summary in summaries),
         max(target_record.peak for target_record in mesh.records),
+        sum(target_record.after_leave for target_record in mesh.records),
     )
 
 
--- a/bench/calls_soak_test.py
+++ b/bench/calls_soak_test.py
@@ -1,10 +1,13 @@
-"""Tests of the soak of calls: one seed passes, and a known fault is detected."""
+"""Tests of the soak of calls: one seed passes, known faults are detected."""
 
 import asyncio
 
 import pytest
+from msgspec.structs import replace
 
 from bench.calls_soak import run_seed
+from medlarhoist.core.header_names import DEFAULT_HEADER_NAMES
+from medlarhoist.core.rate_limit import RateLimiter
 from medlarhoist.core.verdict import Verdict
 
 
@@ -27,3 +30,22 @@
         if repeated:
             return
     pytest.fail('no request ran twice')
+
+
+def test_the_soak_detects_requests_above_a_limit(monkeypatch):
+    """Nodes do not read the limit of a target."""
+    monkeypatch.setattr(RateLimiter, 'set_rate', lambda *ignored: None)
+    for seed in range(1, 6):
+        if asyncio.run(run_seed(seed, 2.0)).above_limit > 0:
+            return
+    pytest.fail('the limit was kept')
+
+
+def test_the_soak_detects_calls_after_a_leave(monkeypatch):
+    """Nodes do not read that a target leaves."""
+    names = replace(DEFAULT_HEADER_NAMES, leaving=b'unread')
+    monkeypatch.setattr('bench.calls_mesh.HEADER_NAMES', names)
+    for seed in range(1, 6):
+        if asyncio.run(run_seed(seed, 2.0)).after_leave:
+            return
+    pytest.fail('no call came after a leave')
--- a/medlarhoist/node/proxy/leaving_test.py
+++ b/medlarhoist/node/proxy/leaving_test.py
@@ -82,9 +82,7 @@
         await mesh.add(registered=False)
         await mesh.add()
         await _leave(mesh)
-        mesh.targets[1].state.is_leaving = False
-        mesh.notify(1, mesh.targets[1].port, run_id='run-2')
-        mesh.registry.renew(mesh.settings[1].peer)
+        mesh.start_run(1, 'run-2')
         return await _get_some(mesh, 'after')
 
     assert run_mesh(scenario) == [200] * LEAVING_CALLS
--- a/medlarhoist/node/proxy/limit_test.py
+++ b/medlarhoist/node/proxy/limit_test.py
@@ -96,7 +96,7 @@
         await mesh.add(limit=1)
         await mesh.get()
         mesh.targets[1].state.limit = 0
-        mesh.notify(1, mesh.targets[1].port, run_id='run-2')
+        mesh.start_run(1, 'run-2')
         summary, _ = await load(mesh)
         return summary
 
--- a/medlarhoist/standin/target_server.py
+++ b/medlarhoist/standin/target_server.py
@@ -23,6 +23,7 @@
 SIZE_HEADER: Final = 'x-size'
 DID_NOT_RUN_LINE: Final = 'x-did-not-run: true\r\n'
 LIMIT_HEADER: Final = 'x-request-limit'
+LEAVE_GRACE_S: Final = 0.5
 LEAVING_LINE: Final = 'x-target-leaving: 1\r\n'
 RECORD_PATH: Final = '/_record'
 _SLOW_START_FACTOR: Final = 3
@@ -39,6 +40,8 @@
         cancelled: requests whose connection was closed before their end.
         late: requests that exceeded their deadline.
         shed: requests refused before their start.
+        after_leave: requests that started over `LEAVE_GRACE_S` after a response
+            had stated that the target leaves.
         in_progress: requests that run now.
         peak: highest number of concurrent requests.
     """
@@ -48,9 +51,15 @@
     cancelled: int = 0
     late: int = 0
     shed: int = 0
+    after_leave: int = 0
     in_progress: int = 0
     peak: int = 0
 
+    @property
+    def ran_count(self) -> int:
+        """Return the number of requests that started."""
+        return sum(self.ran.values())
+
 
 class TargetState:
     """The state of one stand-in target.
@@ -64,6 +73,8 @@
         limit: requests per second that responses name as the limit, zero for
             no limit. It is not enforced.
         rng: random numbers for faults.
+        stated_at: when a response first stated that the target leaves,
+            monotonic seconds; None before that.
     """
 
     __slots__ = (
@@ -74,6 +85,7 @@
         'record',
         'rng',
         'started',
+        'stated_at',
     )
 
     def __init__(self, options: Options, seed: int = 1) -> None:
@@ -88,6 +100,7 @@
         self.started = time.monotonic()
         self.is_refusing = False
         self.is_leaving = False
+        self.stated_at: float | None = None
         self.limit = options.limit
         self.rng = random.Random(seed)  # noqa: S311  faults, not secrets
 
@@ -97,13 +110,20 @@
         return time.monotonic() - self.started - self.options.cold_s
 
     @property
-    def announcements(self) -> str:
+    def is_leave_known(self) -> bool:
+        """Return whether nodes have had time to hear that it leaves."""
+        if self.stated_at is None:
+            return False
+        return time.monotonic() - self.stated_at > LEAVE_GRACE_S
+
+    def announce(self) -> str:
         """Return the header lines that each response has, with CRLF."""
         lines = []
         if self.limit:
             lines.append(f'{LIMIT_HEADER}: {self.limit}\r\n')
         if self.is_leaving:
             lines.append(LEAVING_LINE)
+            self.stated_at = self.stated_at or time.monotonic()
         return ''.join(lines)
 
     @property
@@ -144,6 +164,7 @@
         record.shed += 1
         return Response(503, b'', DID_NOT_RUN_LINE)
     record.ran[request.headers.get(ID_HEADER, '')] += 1
+    record.after_leave += state.is_leave_known
     record.in_progress += 1
     record.peak = max(record.peak, record.in_progress)
     try:
@@ -290,7 +311,7 @@
         echo = f'{ATTEMPT_HEADER}: {attempt}\r\n' if attempt else ''
         head = (
             f'HTTP/1.1 {response.status} -\r\n{response.extra}{echo}'
-            f'{self._state.announcements}'
+            f'{self._state.announce()}'
             f'content-length: {len(response.content)}\r\n\r\n'
         )
         content = b'' if request.method == 'HEAD' else response.content
