Check leaves in the soak by the process that has heard of them

A process cannot know what only its predecessor was told, and keeps nothing on disk; the promise is that of each process. The check now goes by the process that a request came from, and covers every request instead of the first response alone.

--- a/bench/calls_mesh.py
+++ b/bench/calls_mesh.py
@@ -107,7 +107,7 @@
         """Start the next run of a target, at the same address."""
         state = self.targets[index].state
         state.is_leaving = False
-        state.stated_at = None
+        state.told.clear()
         self._run_ids[index] = run_id
         self.notify(index, self.targets[index].port)
         self.registry.renew(self.settings[index].peer)
--- a/bench/calls_soak.py
+++ b/bench/calls_soak.py
@@ -44,8 +44,8 @@
             not run", or did not run although it received status 200.
         crossed: mismatched responses, which belong to another request.
         peak: highest number of concurrent requests on one target.
-        after_leave: requests that a target started after its nodes had heard
-            that it leaves.
+        after_leave: requests that a target started although the process that
+            sent them had heard that it leaves.
         above_limit: requests above those that the limited target accepts.
         errors: errors that the nodes logged.
     """
