--- a/medlarhoist/node/target_registration_test.py
+++ b/medlarhoist/node/target_registration_test.py
@@ -25,18 +25,27 @@
 )
 
 
-@pytest.fixture(name='announced')
-def _announced():
-    """Return a registration, and a function that returns announced phases."""
+@pytest.fixture(name='started')
+def _started():
+    """Return a registration of a node that has just started.
+
+    Also return a function that returns the phases that it announces.
+    """
     cfg = create_settings('n0', 'a')
     registry = create_registry(create_membership(cfg, 0))
     registration = TargetRegistration(cfg, registry, lambda notice: None)
-    registration.receive(NOTICE)
     return registration, lambda: [
         target.phase for target in registry.local_targets()
     ]
 
 
+@pytest.fixture(name='announced')
+def _announced(started):
+    """Return the same, of a node that has received a notice."""
+    started[0].receive(NOTICE)
+    return started
+
+
 def test_a_run_that_states_that_it_leaves_is_announced_as_draining(announced):
     registration, phases = announced
     assert phases() == [TargetPhase.READY]
@@ -64,3 +73,14 @@
     registration.remove(NOTICE.run_id, NOTICE.born_ms)
     registration.receive(replace(NOTICE, born_ms=6))
     assert phases() == [TargetPhase.READY]
+
+
+@pytest.mark.parametrize('born_ms', [NOTICE.born_ms, 0])
+def test_a_leave_counts_before_the_first_notice_of_the_run(started, born_ms):
+    """A node restarts, and a notice that was sent before the leave is late."""
+    registration, phases = started
+    registration.remove(NOTICE.run_id, born_ms)
+    registration.receive(NOTICE)
+    assert not phases()
+    registration.receive(replace(NOTICE, run_id='i-2', born_ms=6))
+    assert phases() == [TargetPhase.READY]
