Remember the leave of a run whose first notice is still to come

Callers' requests reached a target 2.4 s after its leave had been acknowledged.

Cause: a node that has restarted knows of no target. A leave was applied to the known run only, so one that came before the first notice of its run was acknowledged and forgotten; a notice that had been sent before it came later and announced the target as ready. Class: an event that is acknowledged but dropped, as the state that it changes does not exist yet.

Change: the last leave is kept whether or not its run is known, and later notices of that run are ignored.

--- a/medlarhoist/node/target_registration.py
+++ b/medlarhoist/node/target_registration.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from loguru import logger
+from msgspec import Struct
 
 from medlarhoist.core.presence import (
     Presence,
@@ -33,6 +34,32 @@
 SetTarget = Callable[[TargetNotice | None], None]
 
 
+class _Leave(Struct, frozen=True):
+    """The last leave that a node has received.
+
+    Args:
+        run_id: id of the run that has left, empty if it has none.
+        born_ms: when it started, milliseconds since 1970; zero if unknown.
+        received_at: seconds of the monotonic clock.
+    """
+
+    run_id: str = ''
+    born_ms: int = 0
+    received_at: float = 0
+
+    def is_followed_by(self, notice: TargetNotice, now: float) -> bool:
+        """Return whether a notice of the run that has left is late.
+
+        Without the start of that run, a notice of the next run with its id
+        looks alike, so the leave counts for `LEFT_SECONDS` only.
+        """
+        if not self.run_id or notice.run_id != self.run_id:
+            return False
+        if self.born_ms:
+            return notice.born_ms <= self.born_ms
+        return now - self.received_at < LEFT_SECONDS
+
+
 class TargetRegistration:
     """Applies the notices of a target to its node and failure domain.
 
@@ -44,6 +71,7 @@
 
     __slots__ = (
         '_cfg',
+        '_last_leave',
         '_leaving_run',
         '_left_seconds',
         '_registry',
@@ -69,6 +97,7 @@
         self._cfg = cfg
         self._leaving_run = ''
         self._left_seconds = float()
+        self._last_leave = _Leave()
         self._registry = registry
         self._set_target = set_target
         self._tasks: list[asyncio.Task[None]] = []
@@ -107,7 +136,9 @@
 
     def receive(self, notice: TargetNotice) -> None:
         """Apply a notice of the target; an outdated one is ignored."""
-        if is_outdated(self.presence, notice):
+        now = monotonic_seconds()
+        is_late = self._last_leave.is_followed_by(notice, now)
+        if is_late or is_outdated(self.presence, notice):
             logger.bind(run=notice.run_id, sequence=notice.sequence).info(
                 'target: outdated notice ignored',
             )
@@ -120,7 +151,7 @@
         self.presence = receive_notice(
             self.presence,
             notice,
-            monotonic_seconds(),
+            now,
             wall_ms(),
         )
         self._set_target(notice)
@@ -129,13 +160,16 @@
     def remove(self, run_id: str = '', born_ms: int = 0) -> None:
         """Remove the target, which announced that it leaves.
 
-        The leave of another run than the current one is ignored.
+        The leave of another run than the current one removes nothing, but
+        later notices of that run are ignored: after a restart of the node, the
+        leave of a run can come before its first notice.
 
         Args:
             run_id: id of the run that leaves; empty for the current one.
             born_ms: when that run started, milliseconds since 1970; zero if
                 unknown.
         """
+        self._last_leave = _Leave(run_id, born_ms, monotonic_seconds())
         if is_leave_outdated(self.presence, run_id, born_ms):
             logger.bind(run=run_id).info('target: outdated leave ignored')
             return
