--- a/medlarhoist/node/target_registration.py
+++ b/medlarhoist/node/target_registration.py
@@ -191,8 +191,8 @@
         Args:
             now: seconds of the monotonic clock.
         """
-        has_left = self.presence.notice is None and self.presence.has_left
-        if has_left and now - self._left_seconds >= LEFT_SECONDS:
+        since_leave_s = now - self._left_seconds
+        if self.presence.has_left and since_leave_s >= LEFT_SECONDS:
             self._registry.withdraw()
 
     def _announce(self) -> None:
