Set up no connection after a listener's last accept

A connection that is set up between the last accept and the close of the listening socket is reset by the system, with the request that is on it.

--- a/medlarhoist/node/proxy/listener.py
+++ b/medlarhoist/node/proxy/listener.py
@@ -1,14 +1,36 @@
 """Listener: a listening address and the connections accepted on it."""
 
 import asyncio
+import ctypes
 import socket
+import struct
 from typing import Final
 
+from loguru import logger
+
 from medlarhoist.core.compile import DEFAULT_LIMITS
 from medlarhoist.core.resource import Limits
 from medlarhoist.node.proxy.server import FindLimits, Serve, ServerConnection
 
 BACKLOG: Final = 1024
+# Linux's number of the option, which the socket module does not name.
+_SO_ATTACH_FILTER: Final = 26
+# Time in which a connection that is being set up has been set up.
+HANDSHAKE_S: Final = 0.05
+_LOAD_BYTE: Final = 0x30
+_JUMP_IF_SET: Final = 0x45
+_RETURN: Final = 6
+_TCP_FLAGS_OFFSET: Final = 13
+_SYN: Final = 2
+_WHOLE_PACKET: Final = 0xFFFF
+# A classic BPF program of (opcode, instructions to skip if true and if false,
+# operand): it drops the packets that have the flag SYN.
+_DROP_SYN: Final = (
+    (_LOAD_BYTE, 0, 0, _TCP_FLAGS_OFFSET),
+    (_JUMP_IF_SET, 0, 1, _SYN),
+    (_RETURN, 0, 0, 0),
+    (_RETURN, 0, 0, _WHOLE_PACKET),
+)
 
 
 def default_limits() -> Limits:
@@ -82,10 +104,13 @@
         """Stop listening, after accepting the connections in the backlog.
 
         The system would reset these, together with requests that their
-        callers have sent already.
+        callers have sent already, also a connection that is set up after the
+        last accept. So none is set up any more from HANDSHAKE_S before.
         """
         if self._server is None or self._sock is None:
             return
+        _hold_off_connections(self._sock)
+        await asyncio.sleep(HANDSHAKE_S)
         accepted = _accept_all(self._sock)
         self._server.close()
         loop = asyncio.get_running_loop()
@@ -115,6 +140,21 @@
         return ServerConnection(self, self._serve)
 
 
+def _hold_off_connections(listening: socket.socket) -> None:
+    """Drop the packets that ask for a connection, until it is closed.
+
+    Their senders repeat them after a second, and are refused then.
+    """
+    instructions = ctypes.create_string_buffer(
+        b''.join(struct.pack('HBBI', *step) for step in _DROP_SYN),
+    )
+    program = struct.pack('HP', len(_DROP_SYN), ctypes.addressof(instructions))
+    try:
+        listening.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, program)
+    except OSError as exc:
+        logger.warning('listener: cannot hold off connections: {}', exc)
+
+
 def _accept_all(listening: socket.socket) -> list[socket.socket]:
     accepted: list[socket.socket] = []
     while True:
