Answer what was sent to a node before it ends

What callers saw: in a planned stop, requests end without an answer, one of the reports of other operators. Three ways in which that could happen here: an idle connection was closed with an unread request on it; a process could end while a response waited to be sent; and requests in progress at the end of the grace period, which the node did not know, were cut by the kill.

Cause: a node took itself for done when no handler ran, whatever was still on its sockets, and waited up to 60 s for requests. Now a connection is closed only with nothing unread or unsent on it, the grace period is a setting (grace_ms, from the platform's bounds), and half a second before its end requests in progress end with a failure that promises nothing.

--- a/medlarhoist/core/settings.py
+++ b/medlarhoist/core/settings.py
@@ -146,6 +146,8 @@
         service: service whose target runs on the same VM, empty if unknown;
             requests that enter at this node are marked with it.
         heartbeat_ms: heartbeat interval of the target, milliseconds.
+        grace_ms: time from SIGTERM until the process is killed, milliseconds;
+            requests that are in progress shortly before are ended.
         logs: how it logs.
     """
 
@@ -161,6 +163,7 @@
     seeds: tuple[Address, ...] = ()
     service: str = ''
     heartbeat_ms: Annotated[int, Meta(ge=100, le=60_000)] = 1000
+    grace_ms: Annotated[int, Meta(ge=3000, le=600_000)] = 60_000
     logs: Logs = Logs()
 
 
--- a/medlarhoist/node/app.py
+++ b/medlarhoist/node/app.py
@@ -1,6 +1,7 @@
 """App: assembles the parts of a node and runs it until it is stopped."""
 
 from collections.abc import Callable, Iterable
+from typing import Final
 
 from circuits import Component
 from loguru import logger
@@ -25,6 +26,9 @@
 from medlarhoist.utils.web import Site
 from medlarhoist.wire.listener import close_server, start_server
 
+# Time before the end of the grace period at which requests are ended.
+EXIT_S: Final = 0.5
+_MS_PER_SECOND: Final = 1000
 CreateSites = Callable[[Host, 'NodeApp'], tuple[Site, ...]]
 
 
@@ -172,7 +176,10 @@
         """Report not ready, finish the calls in progress, then disconnect."""
         logger.info('node: stopping')
         self._is_stopping = True
-        await self._proxy.stop(announce_leave=self.target_registration.leave)
+        await self._proxy.stop(
+            timeout_s=self._cfg.grace_ms / _MS_PER_SECOND - EXIT_S,
+            announce_leave=self.target_registration.leave,
+        )
         await self._clamp.stop()
         await self._distribution.stop()
         logger.info('node: stopped')
--- a/medlarhoist/node/proxy/client.py
+++ b/medlarhoist/node/proxy/client.py
@@ -21,6 +21,7 @@
 )
 from medlarhoist.node.proxy.reader import Head, MessageReader, Phase
 from medlarhoist.node.proxy.response import Response
+from medlarhoist.node.proxy.sockets import poll_events
 
 _INFORMATIONAL: Final = range(100, 200)
 # Three retransmissions of a lost packet. The kernel ends a connection without
@@ -282,12 +283,7 @@
         An idle connection with unread bytes, or closed by the remote end,
         cannot be reused.
         """
-        poller = select.poll()
-        poller.register(
-            self._transport.get_extra_info('socket').fileno(),
-            select.POLLIN,
-        )
-        return not poller.poll(0)
+        return not poll_events(self._transport, select.POLLIN)
 
     def _resolve(self, response: Response | None) -> None:
         if self._waiter is not None and not self._waiter.done():
--- a/medlarhoist/node/proxy/entry.py
+++ b/medlarhoist/node/proxy/entry.py
@@ -104,6 +104,7 @@
     """Handles the requests of the entry listener.
 
     Args:
+        is_closing: whether calls get no further attempt.
         is_draining: whether new calls are refused.
         retries: number of attempts after the first attempt of a call.
     """
@@ -115,6 +116,7 @@
         '_id_prefix',
         '_splitter',
         '_route_averages',
+        'is_closing',
         'is_draining',
         'retries',
     )
@@ -132,6 +134,7 @@
         self._splitter = Splitter(Random())  # noqa: S311  spreads load only
         started_ms = int(time.time() * _MS_PER_SECOND)
         self._id_prefix = f'{parts.name}-{started_ms:x}'
+        self.is_closing = False
         self.is_draining = False
         self.retries = 0
 
@@ -270,6 +273,8 @@
         A refusal by a node costs no token, as it puts no load on a target. A
         failure that a target returned has consumed its token already.
         """
+        if self.is_closing:
+            return False
         is_safe = may_retry(
             failure.verdict,
             idempotent=call.route.idempotent,
--- a/medlarhoist/node/proxy/listener_test.py
+++ b/medlarhoist/node/proxy/listener_test.py
@@ -80,3 +80,38 @@
         return await _receive(sock)
 
     assert run_listener(scenario).startswith(b'HTTP/1.1 200')
+
+
+def test_a_request_that_is_not_read_yet_is_answered(run_listener):
+    """Its connection is idle for the process, which closes idle ones."""
+
+    async def scenario(listener):
+        sock = _connect(listener.port)
+        first = await _receive(sock)
+        sock.sendall(REQUEST)
+        listener.close_idle()
+        return first, await _receive(sock)
+
+    for received in run_listener(scenario):
+        assert received.startswith(b'HTTP/1.1 200')
+
+
+def test_a_response_that_is_not_sent_yet_keeps_its_connection_busy():
+    """A process that ends meanwhile would cut it."""
+    size = 5_000_000
+
+    async def respond(exchange):
+        exchange.respond(200, [], b'.' * size)
+
+    async def main():
+        listener = Listener(respond)
+        await listener.start('127.0.0.1:0')
+        sock = _connect(listener.port)
+        await asyncio.sleep(0.1)
+        was_busy = [conn.is_busy for conn in listener.connections]
+        received = 0
+        while received < size:
+            received += len(await _receive(sock))
+        return was_busy
+
+    assert asyncio.run(main()) == [True]
--- a/medlarhoist/node/proxy/proxy.py
+++ b/medlarhoist/node/proxy/proxy.py
@@ -42,6 +42,8 @@
 # Time to read requests that were sent before the listeners closed.
 LAST_REQUESTS_S: Final = 0.5
 STOP_TIMEOUT_S: Final = 60.0
+# Time to send the failures of the requests that were given up.
+LAST_RESPONSES_S: Final = 0.2
 _POLL_S: Final = 0.02
 
 
@@ -139,12 +141,6 @@
         compiled = self._parts.configuration.active
         return DEFAULT_LIMITS if compiled is None else compiled.limits
 
-    @property
-    def is_idle(self) -> bool:
-        """Return whether no request is in progress on either listener."""
-        connections = self._entry.connections | self._peer.connections
-        return not any(conn.is_busy for conn in connections)
-
     def set_local_target(self, notice: TargetNotice | None) -> None:
         """Update to the latest notice of the target beside this node.
 
@@ -191,7 +187,7 @@
         Args:
             linger_s: time for which new calls are still served, seconds.
             timeout_s: time from the start of the stop after which calls in
-                progress are not waited for any more, seconds.
+                progress are ended with a failure, seconds.
             announce_leave: announces to other nodes that the target takes no
                 more calls; None for no announcement.
         """
@@ -205,19 +201,32 @@
         await asyncio.sleep(notice_s)
         self._parts.local.start_draining()
         self._entry_service.is_draining = True
-        for listener in (self._entry, self._peer):
-            await listener.close()
+        await asyncio.gather(self._entry.close(), self._peer.close())
         await asyncio.sleep(min(linger_s, LAST_REQUESTS_S))
-        while not self.is_idle and time.monotonic() < now + timeout_s:
-            await asyncio.sleep(_POLL_S)
-        for listener in (self._entry, self._peer):
-            listener.close_idle()
+        await self._finish(now + timeout_s)
+        self._entry_service.is_closing = True
         self._parts.remote.close()
         self._parts.local.close()
+        await self._finish(time.monotonic() + LAST_RESPONSES_S)
         if self._sweeper is not None:
             self._sweeper.cancel()
         logger.info('proxy: stopped')
 
+    async def _finish(self, until: float) -> None:
+        """Wait until each request received has been answered, then close.
+
+        Args:
+            until: when to stop waiting, seconds of the monotonic clock.
+        """
+        while time.monotonic() < until:
+            connections = self._entry.connections | self._peer.connections
+            if not connections:
+                return
+            if not any(conn.is_busy for conn in connections):
+                self._entry.close_idle()
+                self._peer.close_idle()
+            await asyncio.sleep(_POLL_S)
+
     def dump(self) -> ProxyDump:
         """Return the present state for the node's dump and metrics."""
         load = self._parts.local.load
--- a/medlarhoist/node/proxy/server.py
+++ b/medlarhoist/node/proxy/server.py
@@ -24,6 +24,7 @@
     write_response_head,
 )
 from medlarhoist.node.proxy.reader import Head, MessageReader, Phase
+from medlarhoist.node.proxy.sockets import poll_events
 
 CLOSE_LINGER_S: Final = 1.0
 # Callers that send for longer after their response are cut off.
@@ -103,8 +104,9 @@
 
     @property
     def is_busy(self) -> bool:
-        """Return whether a request is in progress."""
-        return self._exchange is not None
+        """Return whether a request is in progress, or its response unsent."""
+        is_sent = not self._transport.get_write_buffer_size()
+        return self._exchange is not None or not is_sent
 
     # Called by asyncio.
 
@@ -253,8 +255,13 @@
         self._transport.abort()
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is in progress."""
-        if self._exchange is None:
+        """Close the connection unless it is busy or has unread bytes.
+
+        Closing would discard the bytes, which may be a request.
+        """
+        if self._transport.is_closing() or self.is_busy:
+            return
+        if not poll_events(self._transport, select.POLLIN):
             self._transport.close()
 
     def sweep(self, now: float) -> None:
@@ -285,10 +292,8 @@
 
     def _is_disconnected(self) -> bool:
         """Return whether the remote end has closed, also behind unread bytes."""
-        poller = select.poll()
-        sock = self._transport.get_extra_info('socket')
-        poller.register(sock.fileno(), select.POLLRDHUP)
-        return any(events & _DISCONNECTED for _, events in poller.poll(0))
+        found = poll_events(self._transport, select.POLLRDHUP)
+        return bool(found & _DISCONNECTED)
 
     def _schedule_disconnect_check(self) -> None:
         self._disconnect_check = asyncio.get_running_loop().call_later(
--- a/medlarhoist/platform/settings.py
+++ b/medlarhoist/platform/settings.py
@@ -68,12 +68,25 @@
     heartbeat_s: float = 1.0
 
 
+class _Bounds(Struct, kw_only=True):
+    """The table `bounds`; the time from SIGTERM to SIGKILL is in seconds."""
+
+    grace_s: float = 60.0
+
+
+class _Terms(Struct, kw_only=True):
+    """The table `terms`."""
+
+    bounds: _Bounds = field(default_factory=_Bounds)
+
+
 class _SettingsFile(Struct, kw_only=True):
     """The tables of the settings file that are read here."""
 
     process: _Process = field(name='self')
     network: _Network
     platform: _Platform = field(default_factory=_Platform)
+    terms: _Terms = field(default_factory=_Terms)
 
 
 class Deployment(Struct, frozen=True, kw_only=True):
@@ -188,6 +201,7 @@
         peer=listen.inbound,
         service=process.service,
         heartbeat_ms=int(settings.platform.heartbeat_s * _MS_PER_SECOND),
+        grace_ms=int(settings.terms.bounds.grace_s * _MS_PER_SECOND),
         logs=Logs(json=True),
     )
 
--- a/medlarhoist/platform/settings_test.py
+++ b/medlarhoist/platform/settings_test.py
@@ -33,7 +33,7 @@
             'seeds': ['10.3.0.13:8620', '10.1.0.45:8620', '10.2.0.29:8620'],
         },
         'platform': {'heartbeat_s': 1.5, 'new': 'field'},
-        'terms': {'bounds': {}},
+        'terms': {'bounds': {'grace_s': 6}},
     }
 
 
@@ -57,6 +57,7 @@
     assert (cfg.control, cfg.admin) == ('10.1.0.41:7600', '10.1.0.41:7602')
     assert (cfg.domain, cfg.service) == ('uy-south-a', 'huvo11a')
     assert cfg.heartbeat_ms == 1500
+    assert cfg.grace_ms == 6000
     assert [peer.control for peer in cfg.sources] == [
         '10.1.0.45:7600',
         '10.2.0.29:7600',
