--- a/bench/calls_mesh.py
+++ b/bench/calls_mesh.py
@@ -1,6 +1,7 @@
 """Calls mesh: nodes with stand-in targets on one loop, for tests."""
 
 import asyncio
+import time
 from collections import Counter
 from typing import Any
 
@@ -17,6 +18,7 @@
 )
 from medlarhoist.core.compile import Compiled
 from medlarhoist.core.header_names import DEFAULT_HEADER_NAMES
+from medlarhoist.core.quarantine import Quarantine
 from medlarhoist.core.settings import NodeSettings
 from medlarhoist.core.target import TargetNotice, TargetPhase
 from medlarhoist.node.proxy import Proxy, create_proxy
@@ -42,6 +44,8 @@
         settings: settings of the nodes, by index.
         targets: stand-in targets of the nodes, by index.
         restarts: restarts of the nodes, by index.
+        quarantines: the suspects that each proxy knows of, also those of
+            proxies that were restarted.
     """
 
     def __init__(self, compiled: Compiled | None = None) -> None:
@@ -53,6 +57,7 @@
         self.settings: list[NodeSettings] = []
         self.targets: list[TargetServer] = []
         self.restarts: Counter[int] = Counter()
+        self.quarantines: list[Quarantine] = []
         self._run_ids: dict[int, str] = {}
 
     async def add(
@@ -169,6 +174,19 @@
         """Close the connections of other nodes to a node."""
         self.nodes[index]._peer.reset()  # noqa: SLF001, WPS437
 
+    async def spread_suspicions(self, interval_s: float = 0.02) -> None:
+        """Exchange the records of all nodes, as gossip does, until cancelled."""
+        while True:
+            now = time.monotonic()
+            records = [
+                record
+                for quarantine in self.quarantines
+                for record in quarantine.export(now)
+            ]
+            for quarantine in self.quarantines:
+                quarantine.merge(records, now)
+            await asyncio.sleep(interval_s)
+
     @property
     def records(self) -> list[Record]:
         """Return the records of requests that the targets ran, by index."""
@@ -182,6 +200,7 @@
             server.close()
 
     def _create_proxy(self, cfg: NodeSettings) -> Proxy:
+        self.quarantines.append(Quarantine())
         return create_proxy(
             cfg,
             self.configuration,
@@ -189,6 +208,7 @@
             self.recorder,
             StaticLimiter(),
             HEADER_NAMES,
+            self.quarantines[-1],
         )
 
 
--- a/medlarhoist/core/membership.py
+++ b/medlarhoist/core/membership.py
@@ -209,7 +209,7 @@
         state: the members as this node has received them; updated.
         receiver: name of the node that the packet goes to, empty if unknown.
     """
-    limit = _RETRANSMIT_FACTOR * (len(state.members) + 1).bit_length()
+    limit = retransmissions(state)
     counts = state.send_counts
     by_count = sorted((count, name) for name, count in counts.items())
     names = [pending_name for _, pending_name in by_count[:UPDATES_PER_PACKET]]
@@ -224,6 +224,11 @@
     return tuple(record for record in updates if record is not None)
 
 
+def retransmissions(state: MembershipState) -> int:
+    """Return in how many packets this node sends a piece of news."""
+    return _RETRANSMIT_FACTOR * (len(state.members) + 1).bit_length()
+
+
 def live_members(state: MembershipState) -> tuple[Member, ...]:
     """Return the other members that are alive or suspected."""
     return tuple(
--- a/medlarhoist/core/membership_probe.py
+++ b/medlarhoist/core/membership_probe.py
@@ -25,6 +25,7 @@
     pop_updates,
     suspect,
 )
+from medlarhoist.core.quarantine import Suspicion
 
 RETRY_DEAD_PERIODS: Final = 5
 
@@ -51,6 +52,7 @@
         sender: record of the sending node.
         subject: gossip address that the receiver of a relay shall probe.
         updates: records of members that have changed.
+        suspicions: records of requests that are suspected to crash targets.
     """
 
     kind: PacketKind
@@ -58,6 +60,7 @@
     sender: Member
     subject: str = ''
     updates: tuple[Member, ...] = ()
+    suspicions: tuple[Suspicion, ...] = ()
 
 
 class Outgoing(Struct, frozen=True):
@@ -164,13 +167,23 @@
     return []
 
 
-def push_updates(prober: Prober, random: Random) -> list[Outgoing]:
+def push_updates(
+    prober: Prober,
+    random: Random,
+    *,
+    has_news: bool = False,
+) -> list[Outgoing]:
     """Return packets that send unsent updates to a few random members.
 
     Empty where every update has been sent at least once.
+
+    Args:
+        prober: the probes of this node.
+        random: chooses the members.
+        has_news: whether there is anything else to send.
     """
     membership = prober.membership
-    if 0 not in membership.send_counts.values():
+    if not has_news and 0 not in membership.send_counts.values():
         return []
     members = live_members(membership)
     receivers = random.sample(members, min(PUSH_FANOUT, len(members)))
--- a/medlarhoist/core/subset.py
+++ b/medlarhoist/core/subset.py
@@ -31,5 +31,16 @@
     return tuple(ranked[:size])
 
 
+def choose_one(key: str, targets: Sequence[Target]) -> Target | None:
+    """Return the target that all nodes choose for a key, None without any.
+
+    Args:
+        key: what the target is chosen for.
+        targets: the targets to select from.
+    """
+    ranks = {target.address: _rank(key, target.address) for target in targets}
+    return min(targets, key=lambda target: ranks[target.address], default=None)
+
+
 def _rank(node: str, address: str) -> bytes:
     return blake2b(f'{node} {address}'.encode(), digest_size=8).digest()
--- a/medlarhoist/core/target_view.py
+++ b/medlarhoist/core/target_view.py
@@ -41,6 +41,7 @@
         failure_rate: moving average of the fraction of failed calls, 0 to 1.
         ejected_until: time until which it is excluded, seconds.
         full_until: time until which it counts as full, seconds.
+        unreachable_until: time until which it counts as unreachable, seconds.
         used_at: time of the last call that was sent to it, seconds.
         load: load that its node last reported, None before the first report.
         load_reported_at: time of that report, seconds.
@@ -62,6 +63,7 @@
         'outstanding',
         'responses',
         'sent_since_report',
+        'unreachable_until',
         'used_at',
     )
 
@@ -74,6 +76,7 @@
         self.failure_rate = float()
         self.ejected_until = NEVER_S
         self.full_until = NEVER_S
+        self.unreachable_until = NEVER_S
         self.used_at = NEVER_S
         self.load: Load | None = None
         self.load_reported_at = NEVER_S
@@ -185,4 +188,5 @@
     def record_no_connection(self, now: float) -> None:
         """Record that the target's node was unreachable."""
         self.full_until = now + UNREACHABLE_PAUSE_S
+        self.unreachable_until = self.full_until
         self.failure_rate += FAILURE_SMOOTHING * (1 - self.failure_rate)
--- a/medlarhoist/node/app.py
+++ b/medlarhoist/node/app.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from medlarhoist.core.header_names import DEFAULT_HEADER_NAMES, HeaderNames
+from medlarhoist.core.quarantine import Quarantine
 from medlarhoist.core.settings import NodeSettings
 from medlarhoist.core.snapshot import Share
 from medlarhoist.node.clamp import create_clamp
@@ -62,6 +63,7 @@
             self._active_shares,
             self._services_without_version,
         )
+        self._quarantine = Quarantine()
         self._proxy = create_proxy(
             cfg,
             self._configuration,
@@ -69,6 +71,7 @@
             self._recorder,
             self._clamp,
             header_names,
+            self._quarantine,
         )
         self._distribution = create_distribution(
             cfg,
@@ -76,6 +79,7 @@
             self._registry,
             membership,
             self._recorder,
+            quarantine=self._quarantine,
         )
         self.target_registration = TargetRegistration(
             cfg,
--- a/medlarhoist/node/configuration.py
+++ b/medlarhoist/node/configuration.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from loguru import logger
 from msgspec import Struct
 
 from medlarhoist.core.compile import Compiled, create_incremental_compiler
@@ -188,6 +189,7 @@
         """
         if self.floor is None:
             self.floor = floor
+            logger.info('configuration: the floor is version {}', floor)
         self._activate()
 
     def _snapshot_of(self, message: Stage) -> Snapshot | None:
--- a/medlarhoist/node/distribution.py
+++ b/medlarhoist/node/distribution.py
@@ -10,12 +10,12 @@
 from random import Random
 from typing import Final
 
-from loguru import logger
 from msgspec import Struct
 
 from medlarhoist.core.backoff import delay_seconds, max_delay_seconds
 from medlarhoist.core.interfaces import EvidenceSource
 from medlarhoist.core.membership import MembershipState, live_members
+from medlarhoist.core.quarantine import Quarantine
 from medlarhoist.core.settings import NodeSettings
 from medlarhoist.node.configuration import (
     Configuration,
@@ -103,9 +103,10 @@
         membership: MembershipState,
         evidence: EvidenceSource,
         channels: Channels,
-        random: Random,
+        quarantine: Quarantine,
     ) -> None:
         """Create the parts; `start` runs them."""
+        random = Random()  # noqa: S311  spreads load, not for security
         directory = Directory(cfg, channels, random)
         keeper = Keeper(cfg, configuration)
         downlink = Downlink(cfg, configuration, directory, keeper, random)
@@ -117,7 +118,7 @@
         self._configuration = configuration
         self.directory = directory
         self._downlink = downlink
-        self._gossip = Gossip(cfg, membership, channels, random)
+        self._gossip = Gossip(cfg, membership, channels, random, quarantine)
         self._keeper = keeper
         self._keeper_loop = KeeperLoop(
             cfg,
@@ -136,7 +137,7 @@
             cfg, channels, directory, keeper, receiver, random
         )
         self._exchange = KeeperExchange(
-            cfg, channels, directory, keeper, registry, random
+            cfg, channels, directory, keeper, registry, random, quarantine
         )
         self._register_callbacks()
 
@@ -238,7 +239,6 @@
             wait = delay_seconds(attempt, self._random, longest)
             await asyncio.sleep(wait)
             attempt += 1
-        logger.info('configuration: the floor is version {}', floor)
         self._configuration.set_floor(floor)
         self._uplink.mark_changed()
 
@@ -287,6 +287,7 @@
     membership: MembershipState,
     evidence: EvidenceSource,
     channels: Channels | None = None,
+    quarantine: Quarantine | None = None,
 ) -> Distribution:
     """Create the distribution of a node; its `start` runs it.
 
@@ -297,9 +298,17 @@
         membership: its membership state; the registry uses the same object.
         evidence: results of its calls, which are sent up the tree.
         channels: its connections; None creates them from the settings.
+        quarantine: the suspects that it knows of, which it exchanges; None
+            for its own.
     """
     if channels is None:
         channels = create_channels(cfg.shared_key, cfg.name, Traffic())
     return Distribution(
-        cfg, configuration, registry, membership, evidence, channels, Random()
+        cfg,
+        configuration,
+        registry,
+        membership,
+        evidence,
+        channels,
+        quarantine or Quarantine(),
     )
--- a/medlarhoist/node/gossip.py
+++ b/medlarhoist/node/gossip.py
@@ -11,6 +11,7 @@
 
 from loguru import logger
 from msgspec import Struct
+from msgspec.structs import replace
 
 from medlarhoist.core.membership import (
     Member,
@@ -21,6 +22,7 @@
     leave,
     live_members,
     merge_members,
+    retransmissions,
 )
 from medlarhoist.core.membership_probe import (
     Outgoing,
@@ -31,7 +33,9 @@
     push_updates,
     receive,
 )
+from medlarhoist.core.quarantine import Quarantine, Suspicion
 from medlarhoist.core.settings import NodeSettings
+from medlarhoist.utils.clock import monotonic_seconds
 from medlarhoist.utils.tasks import cancel_all
 from medlarhoist.wire.auth import is_signed, sign
 from medlarhoist.wire.channels import Channels
@@ -45,6 +49,8 @@
 SYNC_INTERVAL_SECONDS: Final = 30.0
 SEED_PROBE_INTERVAL_SECONDS: Final = 1.0
 DIGEST_OCTETS: Final = 16
+# Some 45 bytes each; a packet stays below the size of an Ethernet frame.
+SUSPICIONS_PER_PACKET: Final = 12
 
 
 class GossipView(Struct, frozen=True, kw_only=True):
@@ -76,6 +82,7 @@
         membership: MembershipState,
         channels: Channels,
         random: Random,
+        quarantine: Quarantine,
     ) -> None:
         """Create the exchange; see start.
 
@@ -84,7 +91,9 @@
             membership: the members as this node has received them; updated.
             channels: connections to the control listeners of other processes.
             random: chooses members and spreads the exchanges in time.
+            quarantine: the suspects that this node knows of; updated.
         """
+        self._quarantine = quarantine
         self._cfg = cfg
         self._key = cfg.shared_key.encode()
         self._membership = membership
@@ -113,6 +122,7 @@
             return
         self._channels.traffic.count_received(packet, len(data))
         loop = asyncio.get_running_loop()
+        self._quarantine.merge(packet.suspicions, monotonic_seconds())
         self._send(receive(self._prober, packet, loop.time()))
         self.schedule_push()
 
@@ -121,10 +131,10 @@
 
     def schedule_push(self) -> None:
         """Push records not sent yet, after `PUSH_DELAY_SECONDS`."""
-        if (
-            self._push_scheduled
-            or 0 not in self._membership.send_counts.values()
-        ):
+        has_updates = 0 in self._membership.send_counts.values()
+        if not has_updates and not self._quarantine.has_unsent():
+            return
+        if self._push_scheduled:
             return
         self._push_scheduled = True
         loop = asyncio.get_running_loop()
@@ -136,6 +146,7 @@
         Raises:
             OSError: the address is not available.
         """
+        self._quarantine.on_change = self.schedule_push
         host, _, port = self._cfg.gossip.rpartition(':')
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(
@@ -173,10 +184,12 @@
             request = Sync(
                 domain=self._cfg.domain,
                 digest=digest_members(self._membership),
+                suspicions=_export(self._quarantine),
             )
             reply = await self._channels.try_call(address, SYNC, request)
             if reply is None:
                 continue
+            self._quarantine.merge(reply.suspicions, monotonic_seconds())
             if reply.members:
                 self._merge(reply.members)
                 full_sync = _create_full_sync(self._membership)
@@ -201,9 +214,11 @@
         request: Sync = await stream.recv_message()
         if request.domain == self._cfg.domain:
             self._merge(request.members)
+        self._quarantine.merge(request.suspicions, monotonic_seconds())
         reply = _create_full_sync(self._membership)
         if reply.digest == request.digest:
             reply = Sync(domain=reply.domain, digest=reply.digest)
+        reply = replace(reply, suspicions=_export(self._quarantine))
         await stream.send_message(reply)
 
     def _merge(self, members: tuple[Member, ...]) -> None:
@@ -212,16 +227,23 @@
 
     def _push(self) -> None:
         self._push_scheduled = False
-        self._send(push_updates(self._prober, self._random))
+        has_news = self._quarantine.has_unsent()
+        self._send(push_updates(self._prober, self._random, has_news=has_news))
 
     def _send(self, outgoing: list[Outgoing]) -> None:
         for datagram in outgoing:
-            body = encode(datagram.packet)
+            suspicions = self._quarantine.pop_updates(
+                SUSPICIONS_PER_PACKET,
+                retransmissions(self._membership),
+                monotonic_seconds(),
+            )
+            packet = replace(datagram.packet, suspicions=suspicions)
+            body = encode(packet)
             data = sign(self._key, body) + body
             host, _, port = datagram.address.rpartition(':')
             if self._transport and not self._transport.is_closing():
                 self._transport.sendto(data, (host, int(port)))
-                self._channels.traffic.count_sent(datagram.packet, len(data))
+                self._channels.traffic.count_sent(packet, len(data))
 
     async def _probe_all(self) -> None:
         loop = asyncio.get_running_loop()
@@ -251,6 +273,10 @@
                 await asyncio.sleep(SEED_PROBE_INTERVAL_SECONDS)
 
 
+def _export(quarantine: Quarantine) -> tuple[Suspicion, ...]:
+    return quarantine.export(monotonic_seconds())
+
+
 def _names_with_status(
     membership: MembershipState, status: MemberStatus
 ) -> tuple[str, ...]:
--- a/medlarhoist/node/keeper_exchange.py
+++ b/medlarhoist/node/keeper_exchange.py
@@ -13,6 +13,7 @@
 
 from msgspec.structs import replace
 
+from medlarhoist.core.quarantine import Quarantine
 from medlarhoist.core.settings import NodeSettings
 from medlarhoist.core.summary import (
     NO_MARK,
@@ -25,7 +26,7 @@
 from medlarhoist.node.join import Directory
 from medlarhoist.node.keeper import Keeper
 from medlarhoist.node.registry import TargetRegistry
-from medlarhoist.utils.clock import wall_ms
+from medlarhoist.utils.clock import monotonic_seconds, wall_ms
 from medlarhoist.wire.channels import Channels
 from medlarhoist.wire.message import Exchange
 from medlarhoist.wire.procedures import EXCHANGE
@@ -46,6 +47,7 @@
         '_directory',
         '_keeper',
         '_on_summary',
+        '_quarantine',
         '_random',
         '_registry',
         '_summary',
@@ -60,8 +62,10 @@
         keeper: Keeper,
         registry: TargetRegistry,
         random: Random,
+        quarantine: Quarantine,
     ) -> None:
         """Create the exchange; `start` runs it."""
+        self._quarantine = quarantine
         self._cfg = cfg
         self._channels = channels
         self._directory = directory
@@ -92,14 +96,17 @@
     async def _run(self) -> None:
         period = 0
         sent = NO_MARK
+        suspicions_sent = 0
         while True:
             await asyncio.sleep(EXCHANGE_INTERVAL_SECONDS)
             period += 1
             if not self._keeper.is_keeper:
                 continue
             mark = mark_of(self._refresh())
-            if mark != sent or self._is_turn(period):
+            has_news = suspicions_sent != self._quarantine.revision
+            if mark != sent or has_news or self._is_turn(period):
                 sent = mark
+                suspicions_sent = self._quarantine.revision
                 await self._query_all()
 
     def _is_turn(self, period: int) -> bool:
@@ -131,13 +138,14 @@
             domain=self._cfg.domain,
             mark=mark_of(summary),
             known=self._registry.marks().get(domain, NO_MARK),
+            suspicions=self._quarantine.export(monotonic_seconds()),
         )
         reply = await self._channels.try_call(address, EXCHANGE, request)
         if reply is None:
             return
         self._record(reply)
         if is_wanted(reply.known, request.mark):
-            full_request = replace(request, summary=summary)
+            full_request = replace(request, summary=summary, suspicions=())
             await self._channels.try_call(address, EXCHANGE, full_request)
 
     async def _serve(self, stream: Any) -> None:
@@ -150,6 +158,7 @@
             mark=mark,
             known=self._registry.marks().get(request.domain, NO_MARK),
             summary=summary if is_wanted(request.known, mark) else None,
+            suspicions=self._quarantine.export(monotonic_seconds()),
         )
         await stream.send_message(reply)
 
@@ -163,6 +172,7 @@
         return self._summary
 
     def _record(self, message: Exchange) -> None:
+        self._quarantine.merge(message.suspicions, monotonic_seconds())
         summary = message.summary
         if summary is not None and self._registry.update_summary(summary):
             self._on_summary(summary)
--- a/medlarhoist/node/metrics.py
+++ b/medlarhoist/node/metrics.py
@@ -63,6 +63,20 @@
     name='target_rate_limit',
     doc='Requests per second that the target of this VM accepts, 0 for any.',
 )
+SUSPECT_REQUESTS: Final = Metric(
+    name='suspect_requests',
+    doc='Requests known to have crashed targets: suspected, or quarantined.',
+)
+QUARANTINE_REFUSALS: Final = Metric(
+    name='quarantine_refusals_total',
+    doc='Calls refused as their request crashes targets, or may do so.',
+    family=Family.COUNTER,
+)
+ENDED_WITH_TARGET: Final = Metric(
+    name='requests_ended_with_target_total',
+    doc='Requests in progress when a run of the target of this VM ended.',
+    family=Family.COUNTER,
+)
 CONNECTIONS: Final = Metric(
     name='connections',
     doc='Open connections by listener.',
@@ -95,6 +109,9 @@
     SLOTS_USED,
     CALLS_WAITING,
     TARGET_RATE_LIMIT,
+    SUSPECT_REQUESTS,
+    QUARANTINE_REFUSALS,
+    ENDED_WITH_TARGET,
     CONNECTIONS,
     DOMAIN_MEMBERS,
     CONTROL_BYTES,
@@ -150,8 +167,18 @@
         (SLOTS_USED, proxy.slots_used),
         (CALLS_WAITING, proxy.waiting),
         (TARGET_RATE_LIMIT, proxy.rate_limit),
+        (QUARANTINE_REFUSALS, proxy.quarantine_refusals),
+        (ENDED_WITH_TARGET, proxy.target_deaths),
     ):
         yield Sample(metric=metric, number=number)
+    suspects = [record for record in proxy.quarantine if record.deaths]
+    quarantined = sum(record.is_quarantined for record in suspects)
+    for state, count in (
+        ('suspected', len(suspects) - quarantined),
+        ('quarantined', quarantined),
+    ):
+        labels = {'state': state}
+        yield Sample(metric=SUSPECT_REQUESTS, number=count, labels=labels)
     for listener, count in (
         ('entry', proxy.entry_connections),
         ('peer', proxy.peer_connections),
--- a/medlarhoist/node/metrics_test.py
+++ b/medlarhoist/node/metrics_test.py
@@ -3,6 +3,7 @@
 from msgspec import convert
 
 from medlarhoist.core.latency import Latencies
+from medlarhoist.core.quarantine import Suspicion
 from medlarhoist.node.distribution import DistributionView
 from medlarhoist.node.metrics import list_node_samples
 from medlarhoist.node.proxy.proxy import ProxyDump
@@ -58,6 +59,9 @@
     rate_limit=12.5,
     is_target_leaving=False,
     refused=0,
+    target_deaths=3,
+    quarantine_refusals=4,
+    quarantine=(Suspicion('ab' * 12, deaths=3, wait_ms=1000),),
     node_connections={},
     targets={},
 )
@@ -83,5 +87,9 @@
     assert 'medlarhoist_connections{listener="peer"} 5' in rendered
     assert 'direction="sent",kind="Hello"} 90' in rendered
     assert '"refused"' in rendered
+    assert 'medlarhoist_suspect_requests{state="quarantined"} 1' in rendered
+    assert 'medlarhoist_suspect_requests{state="suspected"} 0' in rendered
+    assert 'medlarhoist_quarantine_refusals_total 4' in rendered
+    assert 'medlarhoist_requests_ended_with_target_total 3' in rendered
     assert 'calls_within_total{le="0.1",service="seats"} 1' in rendered
     assert 'calls_within_total{le="0.05",service="seats"} 0' in rendered
--- a/medlarhoist/node/proxy/attempt.py
+++ b/medlarhoist/node/proxy/attempt.py
@@ -11,8 +11,10 @@
 
 from medlarhoist.core.admission import Load
 from medlarhoist.core.condition import Condition
+from medlarhoist.core.fingerprint import BODY_PREFIX_BYTES, make_fingerprint
 from medlarhoist.core.head_check import Framing
 from medlarhoist.core.headers import Header
+from medlarhoist.core.quarantine import Suspicion
 from medlarhoist.core.verdict import Verdict
 from medlarhoist.node.proxy.body import Body, BodyTooLarge, IncompleteBody
 
@@ -37,6 +39,10 @@
             None if it reported none.
         return_s: value of Retry-After, seconds; zero for no such header.
         condition: what the target last stated of itself, None if unknown.
+        is_lost: whether the connection was lost before the response.
+        suspicion: what is known of the request if it is suspected to crash
+            targets, None if it is not, or if it is unknown. A suspect that
+            was refused is not sent to another target.
     """
 
     verdict: Verdict
@@ -47,6 +53,14 @@
     load: Load | None = None
     return_s: float = 0
     condition: Condition | None = None
+    is_lost: bool = False
+    suspicion: Suspicion | None = None
+
+    @property
+    def is_final(self) -> bool:
+        """Return whether no other target may be tried."""
+        did_not_run = self.verdict is Verdict.DID_NOT_RUN
+        return did_not_run and self.suspicion is not None
 
 
 def failure_for_caller(failure: Failure, verdict: Verdict) -> Failure:
@@ -99,12 +113,20 @@
         is_replayable: whether everything read so far is still buffered.
     """
 
-    __slots__ = ('_body', '_pieces', '_size', 'fault', 'is_replayable')
+    __slots__ = (
+        '_body',
+        '_pieces',
+        '_prefix',
+        '_size',
+        'fault',
+        'is_replayable',
+    )
 
     def __init__(self, body: Body) -> None:
         """Wrap the body of a caller's or a node's request."""
         self._body = body
         self._pieces: list[bytes] = []
+        self._prefix = b''
         self._size = 0
         self.fault: Exception | None = None
         self.is_replayable = True
@@ -150,7 +172,24 @@
             self._store(piece)
         return piece
 
+    @property
+    def prefix(self) -> bytes:
+        """Return the first BODY_PREFIX_BYTES, or what has been received."""
+        missing = BODY_PREFIX_BYTES - len(self._prefix)
+        return self._prefix + self._body.peek(missing)
+
+    @property
+    def has_prefix(self) -> bool:
+        """Return whether no more bytes will be added to the prefix."""
+        return self._body.ended or len(self.prefix) == BODY_PREFIX_BYTES
+
+    async def await_prefix(self) -> None:
+        """Wait for the prefix, whose bytes stay to be read by attempts."""
+        while not self.has_prefix:
+            await self._body.await_bytes()
+
     def _store(self, piece: bytes) -> None:
+        self._prefix += piece[: BODY_PREFIX_BYTES - len(self._prefix)]
         self._pieces.append(piece)
         self._size += len(piece)
         if self._size > REPLAY_LIMIT_BYTES:
@@ -183,3 +222,16 @@
     is_idempotent: bool
     waits_to_send: bool = False
     caller_id: str = ''
+
+    def make_fingerprint(self, key: bytes) -> str:
+        """Return the fingerprint; it is final once the body has its prefix.
+
+        Args:
+            key: the key of fingerprints of all nodes.
+        """
+        return make_fingerprint(
+            key,
+            (self.method, self.url),
+            self.headers,
+            (self.body.prefix, self.framing.length),
+        )
--- a/medlarhoist/node/proxy/body.py
+++ b/medlarhoist/node/proxy/body.py
@@ -20,6 +20,10 @@
     """The connection ended, or became malformed, before the body ended."""
 
 
+class LostConnection(IncompleteBody):
+    """The remote end closed or reset the connection before the body ended."""
+
+
 class BodyTooLarge(Exception):
     """The body is longer than its limit."""
 
@@ -68,6 +72,11 @@
         """Return whether the body has been received completely."""
         return self.ended and self._fault is None
 
+    @property
+    def is_lost(self) -> bool:
+        """Return whether the remote end ended the connection too soon."""
+        return isinstance(self._fault, LostConnection)
+
     @property
     def is_awaited(self) -> bool:
         """Return whether everything received has been read and more is due.
@@ -111,14 +120,13 @@
             BodyTooLarge: the body is longer than its limit.
         """
         while not self._chunks and not self.ended:
-            if self.ask_sender is not None:
-                self.ask_sender()
-                self.ask_sender = None
-            waiter = asyncio.get_running_loop().create_future()
-            self._waiter = waiter
-            await waiter
+            await self.await_bytes()
         return self.pop_buffered()
 
+    def peek(self, size: int) -> bytes:
+        """Return the first buffered bytes, at most size; they stay unread."""
+        return b''.join(self._chunks)[:size] if size else b''
+
     def pop_buffered(self) -> bytes:
         """Remove and return the buffered bytes, b'' if there are none.
 
@@ -137,6 +145,17 @@
         self.buffered_bytes = 0
         return pieces
 
+    async def await_bytes(self) -> None:
+        """Wait until more bytes arrive or the body ends.
+
+        Only one coroutine may wait at a time.
+        """
+        if self.ask_sender is not None:
+            self.ask_sender()
+            self.ask_sender = None
+        self._waiter = asyncio.get_running_loop().create_future()
+        await self._waiter
+
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
--- a/medlarhoist/node/proxy/call.py
+++ b/medlarhoist/node/proxy/call.py
@@ -13,6 +13,7 @@
     find_header,
     forward_headers,
 )
+from medlarhoist.core.quarantine import Suspicion
 from medlarhoist.core.resource import Route
 from medlarhoist.core.retry import AttemptResult
 from medlarhoist.core.target import Target
@@ -52,6 +53,8 @@
         may_have_run: whether the request may have run in a failed attempt.
         version: version of the configuration that routes the call.
         caller_id: the caller's id of the request, empty if it sent none.
+        suspicion: what is known of the request if it is suspected to crash
+            targets, None if it is not.
     """
 
     __slots__ = (
@@ -69,6 +72,7 @@
         'route',
         'service',
         'started',
+        'suspicion',
         'target',
         'tried',
         'version',
@@ -112,6 +116,7 @@
         self.attempt_started = self.started
         self.may_have_run = False
         self.target: Target | None = None
+        self.suspicion: Suspicion | None = None
         headers = drop_reserved(header_names, forward_headers(head.headers))
         if head.is_old and find_header(headers, b'host') is None:
             headers.append((b'host', service.encode()))
--- a/medlarhoist/node/proxy/call_log.py
+++ b/medlarhoist/node/proxy/call_log.py
@@ -10,10 +10,12 @@
 
 from medlarhoist.core.admission import Load
 from medlarhoist.core.condition import Condition
-from medlarhoist.node.proxy.attempt import Failure
+from medlarhoist.core.quarantine import Suspicion
+from medlarhoist.node.proxy.attempt import Failure, Request
 from medlarhoist.node.proxy.call import Call
 
 _MS_PER_SECOND: Final = 1000
+MAX_LOGGED_PATH: Final = 200
 
 
 def log_failed_attempt(call: Call, failure: Failure, now: float) -> None:
@@ -98,6 +100,32 @@
     ).info('target: refused a call')
 
 
+def log_death(
+    request: Request,
+    fingerprint: str,
+    record: Suspicion | None,
+) -> None:
+    """Log that a run of the target ended while it ran a request.
+
+    Args:
+        request: the request.
+        fingerprint: identifies it, whatever its id is.
+        record: what is known of it, None if it was cleared meanwhile.
+    """
+    deaths = record.deaths if record else 0
+    bound = logger.bind(
+        request=request.caller_id,
+        fingerprint=fingerprint,
+        method=request.method.decode('latin-1'),
+        path=request.url.decode('latin-1')[:MAX_LOGGED_PATH],
+        deaths=deaths,
+    )
+    if record and record.is_quarantined:
+        bound.warning('quarantine: refuses a request that crashes its targets')
+    else:
+        bound.info('target: has ended while it ran a request')
+
+
 def log_limit(condition: Condition) -> None:
     """Log that a target begins or ends to limit its requests per second.
 
--- a/medlarhoist/node/proxy/client.py
+++ b/medlarhoist/node/proxy/client.py
@@ -12,7 +12,7 @@
 from medlarhoist.core.head_check import RESPONSE_LIMIT_BYTES, Framing, HeadFault
 from medlarhoist.core.headers import Header
 from medlarhoist.node.proxy.attempt import Request
-from medlarhoist.node.proxy.body import READ_BYTES, IncompleteBody
+from medlarhoist.node.proxy.body import READ_BYTES, LostConnection
 from medlarhoist.node.proxy.head import (
     LAST_CHUNK,
     parse_response_head,
@@ -130,7 +130,7 @@
         """Fail the response in progress, which is incomplete."""
         self._pool.remove(self)
         if self._response is not None:
-            self._response.fail(IncompleteBody())
+            self._response.fail(LostConnection())
         self._resolve(None)
         if self._writable is not None and not self._writable.done():
             self._writable.set_result(None)
--- a/medlarhoist/node/proxy/entry.py
+++ b/medlarhoist/node/proxy/entry.py
@@ -8,15 +8,12 @@
 import asyncio
 import time
 from random import Random
-from typing import Final, Protocol
-
-from msgspec import Struct, field
+from typing import Final
 
 from medlarhoist.core.balance import SelectionContext
 from medlarhoist.core.budget import RetryBudgets
-from medlarhoist.core.compile import Compiled
 from medlarhoist.core.header_names import (
-    HeaderNames,
+    ERROR_STATUS,
     find_parent_id,
     read_request_id,
 )
@@ -34,15 +31,11 @@
     log_unrouted,
 )
 from medlarhoist.node.proxy.exchange import Exchange
-from medlarhoist.node.proxy.local import ForwardedCall, LocalTarget
-from medlarhoist.node.proxy.observer import Observer
+from medlarhoist.node.proxy.forwarded import ForwardedCall
+from medlarhoist.node.proxy.parts import ProxyParts
 from medlarhoist.node.proxy.relay import refuse, relay
-from medlarhoist.node.proxy.remote import (
-    RemoteNodes,
-    read_reported_condition,
-)
+from medlarhoist.node.proxy.remote import read_reported_condition
 from medlarhoist.node.proxy.response import Response
-from medlarhoist.node.proxy.target_selector import TargetSelector
 
 # Targets that one call is sent to, including those that refuse it.
 MAX_TARGETS_TRIED: Final = 4
@@ -61,45 +54,6 @@
 _STOPPING: Final = Failure(Verdict.DID_NOT_RUN, 'node is stopping')
 
 
-class ConfigurationView(Protocol):
-    """The configuration in force at this node."""
-
-    @property
-    def active(self) -> Compiled | None:
-        """Return it, None until the node has received its version floor.
-
-        The floor is the lowest configuration version that it may serve.
-        """
-
-
-class ProxyParts(Struct, frozen=True, kw_only=True):
-    """The parts of a proxy that the entry service uses.
-
-    Args:
-        name: name of this node.
-        domain: its failure domain.
-        peer_address: address that other nodes send its target's calls to.
-        service: service of the target beside this node, empty if not set.
-        header_names: names of the headers of callers and targets.
-        configuration: the configuration in force.
-        selector: selects versions and targets.
-        local: the target beside this node.
-        remote: the targets beside other nodes.
-        observer: records how attempts and calls ended.
-    """
-
-    name: str
-    domain: str
-    peer_address: str
-    service: str
-    header_names: HeaderNames = field(name='dialect')
-    configuration: ConfigurationView
-    selector: TargetSelector = field(name='choice')
-    local: LocalTarget
-    remote: RemoteNodes
-    observer: Observer
-
-
 class EntryService:
     """Handles the requests of the entry listener.
 
@@ -224,6 +178,9 @@
         for attempt in range(MAX_TARGETS_TRIED):
             if attempt and not self._may_try_another(call, failure):
                 return failure
+            refusal = await self._parts.suspicions.check(call)
+            if refusal is not None:
+                return refusal
             target = self._find_target(call, failure)
             if target is None:
                 return failure
@@ -241,6 +198,13 @@
         return target
 
     def _pick_target(self, call: Call) -> Target | None:
+        if call.suspicion is not None:
+            return self._parts.selector.pick_suspect_target(
+                call.service,
+                call.label,
+                call.tried,
+                call.suspicion.fingerprint,
+            )
         now = time.monotonic()
         local_view = self._parts.selector.views.get(self._parts.peer_address)
         if local_view is not None:
@@ -273,7 +237,7 @@
         A refusal by a node costs no token, as it puts no load on a target. A
         failure that a target returned has consumed its token already.
         """
-        if self.is_closing:
+        if self.is_closing or failure.is_final:
             return False
         is_safe = may_retry(
             failure.verdict,
@@ -308,6 +272,7 @@
             outcome = await self._send(call, target)
             if isinstance(outcome, Failure):
                 self._parts.observer.record_failed_attempt(call, outcome)
+                self._parts.suspicions.record(outcome)
                 log_failed_attempt(call, outcome, time.monotonic())
                 return outcome
             if self._should_retry(call, outcome):
@@ -353,6 +318,7 @@
             label=call.label,
             need=call.build_requirements(target.domain != self._parts.domain),
             condition=view.condition,
+            suspicion=call.suspicion,
         )
         if target.address == self._parts.peer_address:
             outcome = await self._parts.local.send(call.request, forwarded)
@@ -381,6 +347,8 @@
         self._parts.observer.record_response(
             call, response, is_complete=is_whole
         )
+        if is_whole and response.head.status < ERROR_STATUS:
+            self._parts.suspicions.record_success(call)
         if is_whole:
             took_s = call.processing_s(
                 call.attempt_started,
--- /dev/null
+++ b/medlarhoist/node/proxy/factory.py
@@ -0,0 +1,79 @@
+"""Factory: creates the proxy of a node from its parts."""
+
+import time
+from random import Random
+
+from medlarhoist.core.balance import NodeLocation
+from medlarhoist.core.fingerprint import make_fingerprint_key
+from medlarhoist.core.header_names import DEFAULT_HEADER_NAMES, HeaderNames
+from medlarhoist.core.interfaces import CallRecorder, Registry, ShareLimiter
+from medlarhoist.core.quarantine import Quarantine
+from medlarhoist.core.resource import Service
+from medlarhoist.core.settings import NodeSettings
+from medlarhoist.node.proxy.call_suspicion import CallSuspicions
+from medlarhoist.node.proxy.local import LocalTarget
+from medlarhoist.node.proxy.observer import Observer
+from medlarhoist.node.proxy.parts import ConfigurationView, ProxyParts
+from medlarhoist.node.proxy.peer import PeerService
+from medlarhoist.node.proxy.proxy import Proxy
+from medlarhoist.node.proxy.remote import RemoteNodes
+from medlarhoist.node.proxy.suspects import TargetSuspects
+from medlarhoist.node.proxy.target_selector import TargetSelector
+
+
+def create_proxy(
+    cfg: NodeSettings,
+    configuration: ConfigurationView,
+    registry: Registry,
+    recorder: CallRecorder,
+    limiter: ShareLimiter,
+    header_names: HeaderNames = DEFAULT_HEADER_NAMES,
+    quarantine: Quarantine | None = None,
+) -> Proxy:
+    """Return the proxy of a node, which does not listen before its start.
+
+    Args:
+        cfg: settings of the node.
+        configuration: the configuration in force.
+        registry: the live targets.
+        recorder: counts the results of calls, as evidence on versions.
+        limiter: clamps the share of a new version on local evidence.
+        header_names: names of the headers of callers and targets.
+        quarantine: the suspects that this node knows of, which it exchanges
+            with others; None for its own.
+    """
+    if quarantine is None:
+        quarantine = Quarantine()
+    fingerprint_key = make_fingerprint_key(cfg.shared_key)
+    key = cfg.shared_key.encode()
+    rng = Random()  # noqa: S311  selects targets, not for security
+
+    def find_service(name: str) -> Service | None:  # noqa: WPS430
+        compiled = configuration.active
+        return compiled.services.get(name) if compiled else None
+
+    suspects = TargetSuspects(fingerprint_key, quarantine)
+    local = LocalTarget(find_service, header_names, suspects)
+    selector = TargetSelector(
+        cfg.name,
+        NodeLocation(cfg.domain, cfg.peer),
+        registry,
+        limiter,
+        time.monotonic,
+        rng,
+    )
+    parts = ProxyParts(
+        name=cfg.name,
+        domain=cfg.domain,
+        peer_address=cfg.peer,
+        service=cfg.service,
+        header_names=header_names,
+        configuration=configuration,
+        selector=selector,
+        local=local,
+        remote=RemoteNodes(cfg.name, cfg.domain, key, time.time),
+        observer=Observer(selector, recorder),
+        suspicions=CallSuspicions(fingerprint_key, quarantine),
+    )
+    peer_service = PeerService(local, cfg.domain, key, time.time)
+    return Proxy(cfg, parts, peer_service)
--- a/medlarhoist/node/proxy/local.py
+++ b/medlarhoist/node/proxy/local.py
@@ -9,21 +9,17 @@
 from collections.abc import Callable
 from random import Random
 
-from msgspec import Struct, structs
+from msgspec import structs
 
-from medlarhoist.core.admission import (
-    CallRequirements,
-    Load,
-    retry_after_seconds,
-)
+from medlarhoist.core.admission import Load, retry_after_seconds
 from medlarhoist.core.condition import (
-    NO_CONDITION,
     Condition,
     RunCondition,
     read_condition,
 )
 from medlarhoist.core.deadline import left_for_next_hop_ms
 from medlarhoist.core.header_names import (
+    ERROR_STATUS,
     HeaderNames,
     is_mismatched_response,
     is_refusal,
@@ -36,38 +32,16 @@
 from medlarhoist.core.verdict import SERVER_FAULT_STATUS, Verdict
 from medlarhoist.node.proxy.attempt import Failure, Request
 from medlarhoist.node.proxy.call_log import log_limit, log_refusal
+from medlarhoist.node.proxy.forwarded import ForwardedCall
 from medlarhoist.node.proxy.pool import ConnectionPool, send_request
 from medlarhoist.node.proxy.response import Response
 from medlarhoist.node.proxy.slots import Slots
+from medlarhoist.node.proxy.suspects import SuspectRun, TargetSuspects
+from medlarhoist.utils.tasks import start_task
 
 _FindService = Callable[[str], Service | None]
 
 
-class ForwardedCall(Struct, frozen=True, kw_only=True):
-    """The properties of a call by which the target's node admits it.
-
-    The entry node sends them as headers if the target is on another VM.
-
-    Args:
-        request_id: id of the attempt, unique for each.
-        service: name of the service.
-        label: version that the entry node selected, empty for any.
-        need: requirements of the call: deadline, objective and priority.
-        condition: what the target has stated of itself to the entry node.
-    """
-
-    request_id: bytes
-    service: str
-    label: str
-    need: CallRequirements
-    condition: Condition = NO_CONDITION
-
-    @property
-    def deadline(self) -> float:
-        """Return the deadline, seconds of the monotonic clock."""
-        return self.need.deadline
-
-
 class LocalTarget:
     """The target on the same VM, with its slots and its queue.
 
@@ -77,6 +51,7 @@
         refused: calls that this node refused without sending them.
         on_leaving: called with the key of a run that states that it leaves.
         stated: what the present run of the target has stated of itself.
+        suspects: the requests that are suspected to crash the target.
     """
 
     __slots__ = (
@@ -93,12 +68,14 @@
         'on_leaving',
         'refused',
         'stated',
+        'suspects',
     )
 
     def __init__(
         self,
         find_service: _FindService,
         header_names: HeaderNames,
+        suspects: TargetSuspects,
     ) -> None:
         """Start without a target.
 
@@ -106,7 +83,9 @@
             find_service: returns a service of the configuration in force by
                 its name, None if there is none.
             header_names: names of the headers that the target uses.
+            suspects: the requests that are suspected to crash the target.
         """
+        self.suspects = suspects
         self._header_names = header_names
         self._rng = Random()  # noqa: S311  spreads retries only
         self._find_service = find_service
@@ -150,12 +129,16 @@
         """
         before = self._notice
         self._notice = notice
+        self.suspects.address = ''
         if notice is None or notice.phase is not TargetPhase.READY:
             self._slots.refuse_waiters()
+        else:
+            self.suspects.address = notice.address
         if notice is None:
             return
         self.stated.start_run(notice.run_key)
         if before is None or not is_same_run(before, notice):
+            self.suspects.start_run()
             self._pool.close_idle()
             self._pool = ConnectionPool(
                 notice.address,
@@ -182,49 +165,82 @@
             The response, whose close must be called, or the failure.
         """
         caller_id = read_request_id(self._header_names, request.headers)
+        request = structs.replace(request, caller_id=caller_id)
         self.stated.adopt(call.condition)
-        reason = await self._acquire_slot(call)
-        if reason:
-            self.refused += 1
-            load = self.load
-            left_s = call.deadline - time.monotonic()
-            log_refusal(caller_id, reason, load, left_s)
-            return Failure(
-                Verdict.DID_NOT_RUN,
-                reason,
-                load=load,
-                return_s=retry_after_seconds(load, self._rng),
-                condition=self.stated.known,
-            )
+        if call.suspicion is not None:
+            known = (call.suspicion,)
+            self.suspects.quarantine.merge(known, time.monotonic())
+        while True:
+            refusal = await self.suspects.await_turn(request, call.need.due)
+            if refusal is not None:
+                left_s = call.deadline - time.monotonic()
+                log_refusal(caller_id, refusal.reason, self.load, left_s)
+                return refusal
+            reason = await self._acquire_slot(call)
+            if reason:
+                self.refused += 1
+                load = self.load
+                left_s = call.deadline - time.monotonic()
+                log_refusal(caller_id, reason, load, left_s)
+                return Failure(
+                    Verdict.DID_NOT_RUN,
+                    reason,
+                    load=load,
+                    return_s=retry_after_seconds(load, self._rng),
+                    condition=self.stated.known,
+                )
+            run = await self.suspects.begin(request, self._slots.release)
+            if run is None:
+                continue
+            if not self._find_refusal_reason(call):
+                return await self._run(request, call, run)
+            # The target has changed while the body was awaited.
+            self.suspects.end(run)
+            self._slots.release()
+
+    async def _run(
+        self,
+        request: Request,
+        call: ForwardedCall,
+        run: SuspectRun,
+    ) -> Response | Failure:
+        """Send a request that has a slot."""
         started = time.monotonic()
         run_key = self.stated.run_key
-        sent = structs.replace(
-            self._add_headers(request, call),
-            caller_id=caller_id,
-        )
-        self._running.add(caller_id)
+        run_id = self._notice.run_id if self._notice else ''
+        sent = _add_headers(request, call, self._header_names, run_id)
+        self._running.add(request.caller_id)
         try:
             outcome = await send_request(self._pool, sent)
         except BaseException:
             self._slots.release_later()
+            self.suspects.end(run)
             raise
         finally:
             # Nested calls are made before the response, not after it.
-            self._running.discard(caller_id)
+            self._running.discard(request.caller_id)
         if isinstance(outcome, Failure):
             _release_after(self._slots, outcome)
-            return outcome
-        # Quick failures must not lower the mean time of a call.
-        is_sample = outcome.head.status < SERVER_FAULT_STATUS
-        outcome.on_finished(
-            lambda is_whole: self._slots.finish(
+            return await self.suspects.handle_failure(outcome, run)
+        response = outcome
+
+        def finish(is_whole: bool) -> None:  # noqa: WPS430
+            status = response.head.status
+            self._slots.finish(
                 call.need,
                 started,
                 is_whole=is_whole,
-                is_sample=is_sample,
-            ),
-        )
-        return self._check_response(outcome, sent, call, run_key)
+                # Quick failures must not lower the mean time of a call.
+                is_sample=status < SERVER_FAULT_STATUS,
+            )
+            if response.body.is_lost:
+                start_task(self.suspects.handle_loss(run))
+            else:
+                is_success = is_whole and status < ERROR_STATUS
+                self.suspects.end(run, is_success=is_success)
+
+        response.on_finished(finish)
+        return self._check_response(response, sent, call, run_key)
 
     def sweep(self, now: float) -> None:
         """Close connections that have been idle for too long.
@@ -285,20 +301,6 @@
             )
         return response
 
-    def _add_headers(self, request: Request, call: ForwardedCall) -> Request:
-        """Return the request with attempt id, deadline and run id added."""
-        left_ms = left_for_next_hop_ms(call.deadline, time.monotonic())
-        deadline = self._header_names.deadline
-        headers: list[Header] = [
-            header for header in request.headers if header[0] != deadline
-        ]
-        headers.append((REQUEST_HEADER, call.request_id))
-        headers.append((deadline, b'%d' % left_ms))
-        if self._header_names.expected_target and self._notice is not None:
-            run_id = self._notice.run_id.encode()
-            headers.append((self._header_names.expected_target, run_id))
-        return structs.replace(request, headers=headers)
-
     async def _acquire_slot(self, call: ForwardedCall) -> str:
         """Acquire a slot; return why it is refused, or '' for a slot."""
         reason = self._find_refusal_reason(call)
@@ -333,10 +335,29 @@
             log_limit(condition)
         self._slots.set_rate(condition.rate)
         if condition.is_leaving:
+            self.suspects.address = ''
             self._slots.refuse_waiters()
             self.on_leaving(condition.run_key)
 
 
+def _add_headers(
+    request: Request,
+    call: ForwardedCall,
+    names: HeaderNames,
+    run_id: str,
+) -> Request:
+    """Return the request with attempt id, deadline and run id added."""
+    left_ms = left_for_next_hop_ms(call.deadline, time.monotonic())
+    headers: list[Header] = [
+        header for header in request.headers if header[0] != names.deadline
+    ]
+    headers.append((REQUEST_HEADER, call.request_id))
+    headers.append((names.deadline, b'%d' % left_ms))
+    if names.expected_target and run_id:
+        headers.append((names.expected_target, run_id.encode()))
+    return structs.replace(request, headers=headers)
+
+
 def _release_after(slots: Slots, failure: Failure) -> None:
     """Release a slot, later if the target may still use it."""
     if failure.verdict is Verdict.DID_NOT_RUN:
--- a/medlarhoist/node/proxy/peer.py
+++ b/medlarhoist/node/proxy/peer.py
@@ -20,11 +20,13 @@
     REQUEST_HEADER,
     REQUIREMENTS_HEADER,
     SERVICE_HEADER,
+    SUSPICION_HEADER,
     TOKEN_HEADER,
     Header,
     forward_headers,
 )
 from medlarhoist.core.load_headers import format_load, parse_requirements
+from medlarhoist.core.quarantine import parse_suspicion
 from medlarhoist.core.verdict import Verdict
 from medlarhoist.node.proxy.attempt import (
     Failure,
@@ -33,7 +35,8 @@
     Request,
 )
 from medlarhoist.node.proxy.exchange import Exchange
-from medlarhoist.node.proxy.local import ForwardedCall, LocalTarget
+from medlarhoist.node.proxy.forwarded import ForwardedCall
+from medlarhoist.node.proxy.local import LocalTarget
 from medlarhoist.node.proxy.relay import refuse, relay
 from medlarhoist.wire.auth import is_token_valid
 
@@ -155,6 +158,7 @@
             ),
             condition=parse_condition(headers.get(CONDITION_HEADER))
             or NO_CONDITION,
+            suspicion=parse_suspicion(headers.get(SUSPICION_HEADER)),
         )
 
     def _is_authentic(self, token: bytes) -> bool:
--- a/medlarhoist/node/proxy/pool.py
+++ b/medlarhoist/node/proxy/pool.py
@@ -166,5 +166,10 @@
         reason = 'connection lost'
         if conn.fault:
             reason = f'malformed response: {conn.fault}'
-        return Failure(request.progress.verdict, reason, 502)
+        return Failure(
+            request.progress.verdict,
+            reason,
+            502,
+            is_lost=not conn.fault,
+        )
     return response
--- a/medlarhoist/node/proxy/proxy.py
+++ b/medlarhoist/node/proxy/proxy.py
@@ -3,31 +3,21 @@
 import asyncio
 import time
 from collections.abc import Callable
-from random import Random
 from typing import Final
 
 from loguru import logger
 from msgspec import Struct
 
-from medlarhoist.core.balance import NodeLocation
 from medlarhoist.core.check import BODY_LIMIT_BYTES, HEAD_LIMIT_BYTES
 from medlarhoist.core.compile import DEFAULT_LIMITS
-from medlarhoist.core.header_names import DEFAULT_HEADER_NAMES, HeaderNames
-from medlarhoist.core.interfaces import CallRecorder, Registry, ShareLimiter
-from medlarhoist.core.resource import Limits, Service
+from medlarhoist.core.quarantine import Suspicion
+from medlarhoist.core.resource import Limits
 from medlarhoist.core.settings import NodeSettings
 from medlarhoist.core.target import TargetNotice
-from medlarhoist.node.proxy.entry import (
-    ConfigurationView,
-    EntryService,
-    ProxyParts,
-)
+from medlarhoist.node.proxy.entry import EntryService
 from medlarhoist.node.proxy.listener import Listener
-from medlarhoist.node.proxy.local import LocalTarget
-from medlarhoist.node.proxy.observer import Observer
+from medlarhoist.node.proxy.parts import ProxyParts
 from medlarhoist.node.proxy.peer import PeerService
-from medlarhoist.node.proxy.remote import RemoteNodes
-from medlarhoist.node.proxy.target_selector import TargetSelector
 
 SWEEP_INTERVAL_S: Final = 1.0
 # The entry node checks the limits of callers. Nodes add headers, so the peer
@@ -68,6 +58,10 @@
             limit.
         is_target_leaving: whether the target has stated that it leaves.
         refused: calls that this node refused for its target.
+        target_deaths: requests in progress when a run of the target ended.
+        quarantine_refusals: requests refused as they crash their targets, or
+            may not run now as they are suspected to.
+        quarantine: the requests that are suspected to crash their targets.
         node_connections: open connections to other nodes, by address.
         targets: observations of targets, by address.
     """
@@ -87,6 +81,9 @@
     rate_limit: float
     is_target_leaving: bool
     refused: int
+    target_deaths: int
+    quarantine_refusals: int
+    quarantine: tuple[Suspicion, ...]
     node_connections: dict[str, int]
     targets: dict[str, 'SeenTarget']
 
@@ -230,6 +227,7 @@
     def dump(self) -> ProxyDump:
         """Return the present state for the node's dump and metrics."""
         load = self._parts.local.load
+        suspects = self._parts.local.suspects
         views = self._parts.selector.views
         return ProxyDump(
             entry_port=self._entry.port,
@@ -250,6 +248,10 @@
             rate_limit=load.rate,
             is_target_leaving=self._parts.local.stated.condition.is_leaving,
             refused=self._parts.local.refused,
+            target_deaths=suspects.deaths,
+            quarantine_refusals=suspects.refused
+            + self._parts.suspicions.refused,
+            quarantine=suspects.quarantine.export(time.monotonic()),
             node_connections=self._parts.remote.count_connections(),
             targets={
                 address: SeenTarget(
@@ -268,55 +270,6 @@
             self._entry.sweep(now)
             self._peer.sweep(now)
             self._parts.local.sweep(now)
+            self._parts.local.suspects.quarantine.expire(now)
             addresses = self._parts.selector.expire_views()
             self._parts.remote.sweep(now, addresses)
-
-
-def create_proxy(
-    cfg: NodeSettings,
-    configuration: ConfigurationView,
-    registry: Registry,
-    recorder: CallRecorder,
-    limiter: ShareLimiter,
-    header_names: HeaderNames = DEFAULT_HEADER_NAMES,
-) -> Proxy:
-    """Return the proxy of a node, which does not listen before its start.
-
-    Args:
-        cfg: settings of the node.
-        configuration: the configuration in force.
-        registry: the live targets.
-        recorder: counts the results of calls, as evidence on versions.
-        limiter: clamps the share of a new version on local evidence.
-        header_names: names of the headers of callers and targets.
-    """
-    key = cfg.shared_key.encode()
-    rng = Random()  # noqa: S311  selects targets, not for security
-
-    def find_service(name: str) -> Service | None:  # noqa: WPS430
-        compiled = configuration.active
-        return compiled.services.get(name) if compiled else None
-
-    local = LocalTarget(find_service, header_names)
-    selector = TargetSelector(
-        cfg.name,
-        NodeLocation(cfg.domain, cfg.peer),
-        registry,
-        limiter,
-        time.monotonic,
-        rng,
-    )
-    parts = ProxyParts(
-        name=cfg.name,
-        domain=cfg.domain,
-        peer_address=cfg.peer,
-        service=cfg.service,
-        header_names=header_names,
-        configuration=configuration,
-        selector=selector,
-        local=local,
-        remote=RemoteNodes(cfg.name, cfg.domain, key, time.time),
-        observer=Observer(selector, recorder),
-    )
-    peer_service = PeerService(local, cfg.domain, key, time.time)
-    return Proxy(cfg, parts, peer_service)
--- a/medlarhoist/node/proxy/relay.py
+++ b/medlarhoist/node/proxy/relay.py
@@ -10,11 +10,13 @@
     LOAD_HEADER,
     REASON_HEADER,
     RETRY_AFTER_HEADER,
+    SUSPICION_HEADER,
     VERDICT_HEADER,
     Header,
     forward_headers,
 )
 from medlarhoist.core.load_headers import format_load
+from medlarhoist.core.quarantine import format_suspicion
 from medlarhoist.node.proxy.attempt import Failure
 from medlarhoist.node.proxy.body import BodyTooLarge, IncompleteBody
 from medlarhoist.node.proxy.exchange import Exchange
@@ -88,6 +90,9 @@
     if failure.condition is not None:
         condition = format_condition(failure.condition)
         headers.append((CONDITION_HEADER, condition))
+    if failure.suspicion is not None:
+        suspicion = format_suspicion(failure.suspicion)
+        headers.append((SUSPICION_HEADER, suspicion))
     if failure.has_arrived:
         headers.append((ARRIVED_HEADER, b'1'))
     exchange.respond(failure.status, headers, b'%b\n' % reason)
--- a/medlarhoist/node/proxy/remote.py
+++ b/medlarhoist/node/proxy/remote.py
@@ -25,15 +25,17 @@
     REQUIREMENTS_HEADER,
     RETRY_AFTER_HEADER,
     SERVICE_HEADER,
+    SUSPICION_HEADER,
     TOKEN_HEADER,
     VERDICT_HEADER,
     Header,
     find_header,
 )
 from medlarhoist.core.load_headers import format_requirements, parse_load
+from medlarhoist.core.quarantine import format_suspicion, parse_suspicion
 from medlarhoist.core.verdict import Verdict
 from medlarhoist.node.proxy.attempt import Failure, Request
-from medlarhoist.node.proxy.local import ForwardedCall
+from medlarhoist.node.proxy.forwarded import ForwardedCall
 from medlarhoist.node.proxy.pool import ConnectionPool, send_request
 from medlarhoist.node.proxy.reader import Head
 from medlarhoist.node.proxy.response import Response
@@ -165,6 +167,9 @@
         if call.condition.is_restricted:
             condition = format_condition(call.condition)
             headers.append((CONDITION_HEADER, condition))
+        if call.suspicion is not None:
+            suspicion = format_suspicion(call.suspicion)
+            headers.append((SUSPICION_HEADER, suspicion))
         return headers
 
     def _make_token(self) -> bytes:
@@ -218,6 +223,7 @@
         load=parse_load(find_header(head.headers, LOAD_HEADER)),
         return_s=_parse_seconds(find_header(head.headers, RETRY_AFTER_HEADER)),
         condition=parse_condition(find_header(head.headers, CONDITION_HEADER)),
+        suspicion=parse_suspicion(find_header(head.headers, SUSPICION_HEADER)),
     )
 
 
--- a/medlarhoist/node/proxy/target_selector.py
+++ b/medlarhoist/node/proxy/target_selector.py
@@ -18,7 +18,7 @@
 from medlarhoist.core.condition import Condition
 from medlarhoist.core.interfaces import Registry, ShareLimiter
 from medlarhoist.core.resource import Service
-from medlarhoist.core.subset import choose_subset
+from medlarhoist.core.subset import choose_one, choose_subset
 from medlarhoist.core.target import Target, TargetPhase
 from medlarhoist.core.target_view import TargetView
 
@@ -129,6 +129,40 @@
             self._rng,
         )
 
+    def pick_suspect_target(
+        self,
+        service: str,
+        label: str,
+        tried: set[str],
+        fingerprint: str,
+    ) -> Target | None:
+        """Return the target that runs a suspect next, the same at all nodes.
+
+        Args:
+            service: name of the service.
+            label: version of the service.
+            tried: addresses of the targets that the call has tried.
+            fingerprint: identifies the request.
+
+        Returns:
+            The target, or None if no ready target is left.
+        """
+        ready = [
+            target
+            for target in self._registry.targets(service, label)
+            if target.phase is TargetPhase.READY and target.address not in tried
+        ]
+        now = self._clock()
+        reachable = [
+            target
+            for target in ready
+            if self._find_view(target).unreachable_until <= now
+        ]
+        return choose_one(fingerprint, reachable or ready)
+
+    def _find_view(self, target: Target) -> TargetView:
+        return self.views.setdefault(target.address, TargetView())
+
     def expire_views(self) -> set[str]:
         """Remove the views of targets that are no longer used.
 
@@ -176,7 +210,7 @@
         selected = choose_subset(self._name, local, LOCAL_SUBSET_SIZE)
         selected += choose_subset(self._name, remote, REMOTE_SUBSET_SIZE)
         for target in selected:
-            view = self.views.setdefault(target.address, TargetView())
+            view = self._find_view(target)
             view.used_at = self._clock()
             if target.run_key:
                 left = Condition(target.run_key, is_leaving=True)
--- a/medlarhoist/utils/tasks.py
+++ b/medlarhoist/utils/tasks.py
@@ -11,6 +11,14 @@
 _RUNNING: Final[set[_Task]] = set()
 
 
+def start_task(coroutine: Coroutine[Any, Any, Any]) -> _Task:
+    """Run a coroutine whose end nobody waits for; return its task."""
+    task = asyncio.ensure_future(coroutine)
+    _RUNNING.add(task)
+    task.add_done_callback(_RUNNING.discard)
+    return task
+
+
 async def cancel_all(tasks: Iterable[asyncio.Task[Any]]) -> None:
     """Cancel tasks and wait until all have ended; ignores their exceptions."""
     cancelled = list(tasks)
@@ -36,10 +44,7 @@
     Raises:
         Exception: what a request raised before there were enough replies.
     """
-    tasks = [asyncio.ensure_future(coroutine) for coroutine in requests]
-    _RUNNING.update(tasks)
-    for task in tasks:
-        task.add_done_callback(_RUNNING.discard)
+    tasks = [start_task(coroutine) for coroutine in requests]
     for next_reply in asyncio.as_completed(tasks):
         reply = await next_reply
         if reply is not None and on_reply(reply):
--- a/medlarhoist/wire/message.py
+++ b/medlarhoist/wire/message.py
@@ -12,6 +12,7 @@
 from medlarhoist.core.command import KeeperSet
 from medlarhoist.core.evidence import EvidenceRow
 from medlarhoist.core.membership import Member
+from medlarhoist.core.quarantine import Suspicion
 from medlarhoist.core.resource import Fault
 from medlarhoist.core.snapshot import Snapshot
 from medlarhoist.core.summary import Summary, SummaryMark
@@ -246,11 +247,13 @@
         digest: digest of the sender's live members and record versions.
         members: all records that the sender holds; empty in the first request
             and in a reply with the same digest.
+        suspicions: requests that are suspected to crash targets.
     """
 
     domain: str
     digest: str
     members: tuple[Member, ...] = ()
+    suspicions: tuple[Suspicion, ...] = ()
 
 
 class Exchange(Struct, frozen=True, kw_only=True, tag='exchange'):
@@ -265,12 +268,14 @@
             holds.
         summary: summary of the sender's domain, None where the receiver has
             it or it has not been asked for.
+        suspicions: requests that are suspected to crash targets.
     """
 
     domain: str
     mark: SummaryMark
     known: SummaryMark
     summary: Summary | None = None
+    suspicions: tuple[Suspicion, ...] = ()
 
 
 # From child to parent.
