Believe no refusal without the id that its target usually echoes

A copy with the id of the earlier request was recognized; one without an id was taken for the answer to the request, which then could run a second time elsewhere.

Cause: a response without an id was assumed to match. A refusal of a run that has echoed an id before is now believed only with an id; without one the request may have run.

Tests: faulty_target_test.py, 2 of 4 cases of the repeated refusal failed before.

--- a/medlarhoist/node/proxy/local.py
+++ b/medlarhoist/node/proxy/local.py
@@ -21,6 +21,7 @@
 from medlarhoist.core.header_names import (
     ERROR_STATUS,
     HeaderNames,
+    has_request_id,
     is_mismatched_response,
     is_refusal,
     read_request_id,
@@ -55,6 +56,7 @@
     """
 
     __slots__ = (
+        '_echoes_ids',
         '_find_service',
         '_header_names',
         '_is_draining',
@@ -87,6 +89,8 @@
         """
         self.suspects = suspects
         self._header_names = header_names
+        # Whether the present run of the target echoes the ids of requests.
+        self._echoes_ids = False
         self._rng = Random()  # noqa: S311  spreads retries only
         self._find_service = find_service
         self._notice: TargetNotice | None = None
@@ -139,6 +143,7 @@
         self.stated.start_run(notice.run_key)
         if before is None or not is_same_run(before, notice):
             self.suspects.start_run()
+            self._echoes_ids = False
             self._pool.close_idle()
             self._pool = ConnectionPool(
                 notice.address,
@@ -290,8 +295,21 @@
             self.mismatched += 1
             response.discard()
             return Failure(Verdict.MAY_HAVE_RUN, 'crossed answer', 502)
+        has_id = echoed is not None or has_request_id(
+            self._header_names, headers
+        )
+        is_copy = self._echoes_ids and not has_id
+        self._echoes_ids = self._echoes_ids or has_id
+        has_refused = is_refusal(
+            self._header_names, response.head.status, headers
+        )
+        if has_refused and is_copy:
+            # A copy of an earlier one may come while the request runs.
+            self.mismatched += 1
+            response.discard()
+            return Failure(Verdict.MAY_HAVE_RUN, 'refusal without id', 502)
         self.stated.record(read_condition(self._header_names, run_key, headers))
-        if is_refusal(self._header_names, response.head.status, headers):
+        if has_refused:
             response.close()
             return Failure(
                 Verdict.DID_NOT_RUN,
