--- a/bench/distribution_fleet.py
+++ b/bench/distribution_fleet.py
@@ -16,6 +16,7 @@
 from bench.distribution_links import BlockableChannels, Listener
 from bench.ports import PortPool
 from medlarhoist.core.command import Activate, Outcome, Status
+from medlarhoist.core.quarantine import Quarantine
 from medlarhoist.core.resource import Route, Service, TargetVersion
 from medlarhoist.core.settings import NodeSettings, Peer, SourceSettings
 from medlarhoist.core.snapshot import Snapshot
@@ -86,6 +87,7 @@
         'channels',
         'configuration',
         'distribution',
+        'quarantine',
         'registry',
         'server',
         'versions',
@@ -107,6 +109,7 @@
             compile_function
         )
         self.registry: TargetRegistry = create_registry(membership)
+        self.quarantine = Quarantine()
         self.channels = BlockableChannels(KEY.encode(), cfg.name, Traffic())
         self.distribution: Distribution = create_distribution(
             cfg,
@@ -115,6 +118,7 @@
             membership,
             NoEvidence(),
             self.channels,
+            self.quarantine,
         )
         self.server: Listener | None = None
         self.versions: list[int] = []
