Let operators see, release and switch off the quarantine

The dump of a node lists the records, `medlarhoist release ADDRESS FINGERPRINT` releases a request at all nodes, and the key `quarantine` of the settings switches it off.

--- a/medlarhoist/core/quarantine.py
+++ b/medlarhoist/core/quarantine.py
@@ -121,10 +121,16 @@
         revision: grows with each change.
     """
 
-    __slots__ = ('entries', 'on_change', 'revision')
+    __slots__ = ('_is_enabled', 'entries', 'on_change', 'revision')
 
-    def __init__(self) -> None:
-        """Start without suspects."""
+    def __init__(self, *, is_enabled: bool = True) -> None:
+        """Start without suspects.
+
+        Args:
+            is_enabled: whether there are ever any; otherwise no request is
+                suspected, whatever other nodes know.
+        """
+        self._is_enabled = is_enabled
         self.on_change: Callable[[], None] = _ignore
         self.entries: dict[str, Entry] = {}
         self.revision = 0
@@ -230,7 +236,8 @@
 
     def _adopt(self, record: Suspicion, now: float) -> bool:
         entry = self.entries.get(record.fingerprint)
-        if entry is not None and record.order <= entry.record.order:
+        is_older = entry is not None and record.order <= entry.record.order
+        if is_older or not self._is_enabled:
             return False
         self.entries[record.fingerprint] = Entry(record, now)
         self.revision += 1
--- a/medlarhoist/core/quarantine_test.py
+++ b/medlarhoist/core/quarantine_test.py
@@ -134,6 +134,13 @@
     assert not quarantine.has_unsent()
 
 
+def test_no_request_is_suspected_where_it_is_switched_off():
+    quarantine = Quarantine(is_enabled=False)
+    assert _convict(quarantine) is None
+    assert not quarantine.merge((Suspicion(GUILTY, deaths=3),), NOW)
+    assert not quarantine.entries
+
+
 def test_headers_hold_records_and_malformed_ones_are_ignored(quarantine):
     record = _convict(quarantine)
     assert parse_suspicion(format_suspicion(record)) == record
--- a/medlarhoist/core/settings.py
+++ b/medlarhoist/core/settings.py
@@ -148,6 +148,7 @@
         heartbeat_ms: heartbeat interval of the target, milliseconds.
         grace_ms: time from SIGTERM until the process is killed, milliseconds;
             requests that are in progress shortly before are ended.
+        quarantine: whether requests that crash their targets are refused.
         logs: how it logs.
     """
 
@@ -164,6 +165,7 @@
     service: str = ''
     heartbeat_ms: Annotated[int, Meta(ge=100, le=60_000)] = 1000
     grace_ms: Annotated[int, Meta(ge=3000, le=600_000)] = 60_000
+    quarantine: bool = True
     logs: Logs = Logs()
 
 
--- a/medlarhoist/node/app.py
+++ b/medlarhoist/node/app.py
@@ -1,5 +1,6 @@
 """App: assembles the parts of a node and runs it until it is stopped."""
 
+import time
 from collections.abc import Callable, Iterable
 from typing import Final
 
@@ -63,7 +64,7 @@
             self._active_shares,
             self._services_without_version,
         )
-        self._quarantine = Quarantine()
+        self._quarantine = Quarantine(is_enabled=cfg.quarantine)
         self._proxy = create_proxy(
             cfg,
             self._configuration,
@@ -141,6 +142,7 @@
             self.target_registration.receive,
             self.target_registration.remove,
             metrics,
+            self._release,
         )
         server = await start_server(
             self._cfg.control,
@@ -159,6 +161,19 @@
         for running_site in (site, *sites):
             await running_site.stop()
 
+    def _release(self, fingerprint: str) -> bool:
+        """Release a request from quarantine, at all nodes, as asked for.
+
+        Returns:
+            False if it is no suspect.
+        """
+        is_released = self._quarantine.clear(fingerprint, time.monotonic())
+        if is_released:
+            logger.bind(fingerprint=fingerprint).warning(
+                'quarantine: an operator released a request'
+            )
+        return is_released
+
     def _list_samples(self) -> Iterable[Sample]:
         return list_node_samples(
             self._distribution.dump(),
--- a/medlarhoist/ops/client.py
+++ b/medlarhoist/ops/client.py
@@ -136,9 +136,9 @@
     return Client(servers, token, timeout, sleep)
 
 
-def fetch(address: str, path: str) -> Reply:
-    """Send one GET request to a process, without a token or retries."""
-    return _exchange(address, 'GET', path, b'', '')
+def fetch(address: str, path: str, method: str = 'GET') -> Reply:
+    """Send one request to a process, without a token or retries."""
+    return _exchange(address, method, path, b'', '')
 
 
 def _exchange(
--- a/medlarhoist/ops/commands.py
+++ b/medlarhoist/ops/commands.py
@@ -7,9 +7,6 @@
 import uuid
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
-
-from msgspec import json
 
 from medlarhoist.core.api_messages import (
     ApplyRequest,
@@ -24,19 +21,26 @@
 from medlarhoist.core.command import MovePhase, MoveState, Status
 from medlarhoist.core.event import Event
 from medlarhoist.core.resource import Change, Fault, Key
-from medlarhoist.ops.client import Client, Reply, decode_reply, fetch
+from medlarhoist.ops.client import Client, Reply, decode_reply
 from medlarhoist.ops.dry_run import try_changes
 from medlarhoist.ops.exit_code import (
     ExitCode,
     exit_code_of_move,
     exit_code_of_outcome,
-    exit_code_of_reply,
 )
+from medlarhoist.ops.output import (
+    print_body,
+    print_event,
+    print_json,
+    report_check,
+    report_error,
+    report_faults,
+)
+from medlarhoist.ops.process_commands import list_process_commands
 from medlarhoist.ops.text import (
     describe_apply_response,
     describe_entry,
     describe_event,
-    describe_fault,
     describe_move,
     describe_status,
 )
@@ -65,7 +69,7 @@
         """
         changes, faults = _read_changes(file)
         if faults:
-            return _report_faults(faults, in_json=self._in_json)
+            return report_faults(faults, in_json=self._in_json)
         return self._send_changes(changes, request_id)
 
     def replace(
@@ -89,9 +93,9 @@
         """
         changes, faults = _read_changes(file)
         if faults:
-            return _report_faults(faults, in_json=self._in_json)
+            return report_faults(faults, in_json=self._in_json)
         if self._client is None:
-            return _report_error(self._fetch_reply(''))
+            return report_error(self._fetch_reply(''))
         request = ReplaceRequest(
             request_id=request_id or uuid.uuid4().hex,
             revision=revision,
@@ -113,9 +117,9 @@
         reply = self._fetch_reply('/v1/configuration')
         found = decode_reply(reply, ConfigurationResponse)
         if found is None:
-            return _report_error(reply)
+            return report_error(reply)
         if self._in_json:
-            return _print_json(found)
+            return print_json(found)
         sys.stdout.write(f'# revision {found.revision}\n{found.document}')
         return ExitCode.DONE
 
@@ -130,9 +134,9 @@
         """
         changes, faults = _read_changes(file)
         if faults:
-            return _report_faults(faults, in_json=self._in_json)
+            return report_faults(faults, in_json=self._in_json)
         if self._client is None:
-            return _report_check(
+            return report_check(
                 file, try_changes((), (), changes), in_json=self._in_json
             )
         resources = self._client.get('/v1/resources')
@@ -140,9 +144,9 @@
         resource_list = decode_reply(resources, ResourceList)
         move_list = decode_reply(moves, MoveList)
         if resource_list is None or move_list is None:
-            return _report_error(resources if resource_list is None else moves)
+            return report_error(resources if resource_list is None else moves)
         found = try_changes(resource_list.entries, move_list.moves, changes)
-        return _report_check(file, found, in_json=self._in_json)
+        return report_check(file, found, in_json=self._in_json)
 
     def delete(
         self,
@@ -174,9 +178,9 @@
         reply = self._fetch_reply(f'/v1/resources/{path}')
         found = decode_reply(reply, ResourceList)
         if found is None:
-            return _report_error(reply)
+            return report_error(reply)
         if self._in_json:
-            return _print_json(found)
+            return print_json(found)
         sys.stdout.write(f'version {found.version}\n')
         for entry in found.entries:
             sys.stdout.write(f'{describe_entry(entry)}\n')
@@ -192,9 +196,9 @@
         reply = self._fetch_reply(f'/v1/moves/{name}')
         found = decode_reply(reply, MoveList)
         if found is None:
-            return _report_error(reply)
+            return report_error(reply)
         if self._in_json:
-            _print_json(found)
+            print_json(found)
         else:
             for move in found.moves:
                 sys.stdout.write(f'{describe_move(move)}\n')
@@ -217,31 +221,20 @@
         reply = self._fetch_reply(f'/v1/requests/{request_id}')
         response = decode_reply(reply, ApplyResponse)
         if response is None:
-            return _report_error(reply)
+            return report_error(reply)
         return self._report_response(response)
 
     def status(self) -> ExitCode:
         """Print the state of the sources and of each failure domain."""
         reply = self._fetch_reply('/v1/status')
         if reply.status != 200:
-            return _report_error(reply)
+            return report_error(reply)
         found = decode_reply(reply, StatusReport)
         if self._in_json or found is None:
-            return _print_body(reply)
+            return print_body(reply)
         sys.stdout.write(f'{describe_status(found)}\n')
         return ExitCode.DONE
 
-    def dump(self, address: str) -> ExitCode:
-        """Print the internal state of one process.
-
-        Args:
-            address: host:port of the admin listener of the process.
-        """
-        reply = fetch(address, '/dump')
-        if reply.status != 200:
-            return _report_error(reply)
-        return _print_body(reply)
-
     def watch(self, *, since: int | None = None, until: str = '') -> ExitCode:
         """Print changes, steps of moves and abandoned requests as they happen.
 
@@ -255,9 +248,9 @@
             reply = self._fetch_reply(f'/v1/watch?{query}')
             found = decode_reply(reply, EventPage)
             if found is None:
-                return _report_error(reply)
+                return report_error(reply)
             for event in found.events:
-                _print_event(event, in_json=self._in_json)
+                print_event(event, in_json=self._in_json)
                 ended = _find_ended_move(event, until)
                 if ended is not None:
                     return exit_code_of_move(ended.phase)
@@ -276,7 +269,7 @@
         request_id: str,
     ) -> ExitCode:
         if self._client is None:
-            return _report_error(self._fetch_reply(''))
+            return report_error(self._fetch_reply(''))
         if request_id:
             earlier_reply = self._client.get(f'/v1/requests/{request_id}')
             earlier_response = decode_reply(earlier_reply, ApplyResponse)
@@ -295,13 +288,13 @@
         response = decode_reply(reply, ApplyResponse)
         if response is None:
             sys.stderr.write(f'request {request_id}\n')
-            return _report_error(reply)
+            return report_error(reply)
         return self._report_response(response)
 
     def _report_response(self, response: ApplyResponse) -> ExitCode:
         code = exit_code_of_outcome(response.outcome.status)
         if self._in_json:
-            _print_json(response)
+            print_json(response)
             return code
         is_done = response.outcome.status is Status.ACCEPTED
         stream = sys.stdout if is_done else sys.stderr
@@ -322,7 +315,7 @@
         commands.explain,
         commands.status,
         commands.watch,
-        commands.dump,
+        *list_process_commands(),
     ]
 
 
@@ -334,53 +327,6 @@
     return parse_manifest(text, str(file), wall_ms())
 
 
-def _report_faults(faults: tuple[Fault, ...], *, in_json: bool) -> ExitCode:
-    if in_json:
-        _print_json({'faults': faults})
-    else:
-        for fault in faults:
-            sys.stderr.write(f'{describe_fault(fault)}\n')
-    return ExitCode.REFUSED if faults else ExitCode.DONE
-
-
-def _report_check(
-    file: Path,
-    faults: tuple[Fault, ...],
-    *,
-    in_json: bool,
-) -> ExitCode:
-    if not faults and not in_json:
-        sys.stdout.write(f'{file}: can be applied\n')
-    return _report_faults(faults, in_json=in_json)
-
-
-def _print_event(event: Event, *, in_json: bool) -> None:
-    if in_json:
-        _print_json(event)
-    else:
-        sys.stdout.write(f'{describe_event(event)}\n')
-        sys.stdout.flush()
-
-
-def _report_error(reply: Reply) -> ExitCode:
-    error = reply.error
-    verdict = reply.verdict.value
-    sys.stderr.write(f'{error.message} ({verdict})\n')
-    return exit_code_of_reply(reply)
-
-
-def _print_json(record: Any) -> ExitCode:
-    sys.stdout.write(f'{json.encode(record).decode()}\n')
-    sys.stdout.flush()
-    return ExitCode.DONE
-
-
-def _print_body(reply: Reply) -> ExitCode:
-    text = json.format(reply.body, indent=2).decode()
-    sys.stdout.write(f'{text}\n')
-    return ExitCode.DONE
-
-
 def _find_ended_move(event: Event, name: str) -> MoveState | None:
     move = event.move
     if move is None or move.move != name:
--- a/medlarhoist/utils/admin.py
+++ b/medlarhoist/utils/admin.py
@@ -1,7 +1,8 @@
 """Admin listener: HTTP endpoints of each process for operators.
 
 Serves GET /dump, /metrics and /healthy. On a node the target on the same VM
-also registers by PUT /target and deregisters by DELETE /target.
+also registers by PUT /target and deregisters by DELETE /target, and DELETE
+/quarantine/FINGERPRINT releases a request.
 """
 
 from collections.abc import Callable
@@ -20,12 +21,20 @@
 Dump = Callable[[], Any]
 OnTargetNotice = Callable[[TargetNotice], None]
 OnTargetRemoved = Callable[[], None]
+Release = Callable[[str], bool]
+QUARANTINE_PATH: Final = '/quarantine/'
 
 
 class Admin:
     """Handles the requests of one admin listener."""
 
-    __slots__ = ('_dump', '_metrics', '_on_target_notice', '_on_target_removed')
+    __slots__ = (
+        '_dump',
+        '_metrics',
+        '_on_target_notice',
+        '_on_target_removed',
+        '_release',
+    )
 
     def __init__(
         self,
@@ -33,8 +42,10 @@
         on_target_notice: OnTargetNotice | None,
         on_target_removed: OnTargetRemoved | None,
         metrics: Metrics | None,
+        release: Release | None,
     ) -> None:
         """Store the callbacks; see create_admin."""
+        self._release = release
         self._dump = dump
         self._on_target_notice = on_target_notice
         self._on_target_removed = on_target_removed
@@ -44,6 +55,8 @@
         """Return the response to a request."""
         if request.path == '/target':
             return self._handle_target(request)
+        if request.path.startswith(QUARANTINE_PATH):
+            return self._handle_release(request)
         if request.method != 'GET':
             return _refuse(405, 'only GET is served here')
         if request.path == '/dump':
@@ -55,6 +68,14 @@
             return WebResponse(body=b'{"healthy":true}')
         return _refuse(404, 'serves /dump, /metrics, /healthy and /target')
 
+    def _handle_release(self, request: WebRequest) -> WebResponse:
+        if request.method != 'DELETE':
+            return _refuse(405, 'only DELETE is served here')
+        fingerprint = request.path.removeprefix(QUARANTINE_PATH)
+        if self._release is None or not self._release(fingerprint):
+            return _refuse(404, 'no such request is suspected here')
+        return WebResponse(body=b'{}')
+
     def _handle_target(self, request: WebRequest) -> WebResponse:
         if self._on_target_notice is None or self._on_target_removed is None:
             return _refuse(404, 'this process has no target beside it')
@@ -78,6 +99,7 @@
     on_target_notice: OnTargetNotice | None = None,
     on_target_removed: OnTargetRemoved | None = None,
     metrics: Metrics | None = None,
+    release: Release | None = None,
 ) -> Site:
     """Start the admin listener of a process.
 
@@ -90,11 +112,20 @@
             sends; None on a source, which has no target.
         on_target_removed: called when the target deregisters.
         metrics: rendered for GET /metrics; None serves no metrics.
+        release: called with the fingerprint of a request that an operator
+            releases from quarantine; returns whether it was suspected. None on
+            a source, which has no requests.
 
     Raises:
         OSError: the address cannot be bound.
     """
-    admin = Admin(dump, on_target_notice, on_target_removed, metrics)
+    admin = Admin(
+        dump,
+        on_target_notice,
+        on_target_removed,
+        metrics,
+        release,
+    )
     return create_site(host, CHANNEL, address, admin.respond)
 
 
--- a/medlarhoist/utils/admin_test.py
+++ b/medlarhoist/utils/admin_test.py
@@ -75,6 +75,25 @@
     assert b'medlarhoist_process_cpu_seconds_total ' in rendered[1]
 
 
+def test_an_operator_releases_a_request():
+    released = []
+
+    def release(fingerprint):
+        released.append(fingerprint)
+        return fingerprint == 'ab'
+
+    def client(address):
+        return [
+            _request(address, 'DELETE', '/quarantine/ab')[0],
+            _request(address, 'DELETE', '/quarantine/cd')[0],
+            _request(address, 'GET', '/quarantine/ab')[0],
+        ]
+
+    assert _run(client, release=release) == [200, 404, 405]
+    assert released == ['ab', 'cd']
+    assert _run(client) == [404, 404, 405]
+
+
 def test_a_target_registers_and_deregisters():
     notices = []
     body = json.encode(NOTICE)
