Refuse bodies that are nested too deeply

What callers could see: a configuration whose body is nested too deeply got status 500 from each source, so that its operator sends it to the next one; a leave in such a body was neither acknowledged nor applied; a heartbeat got 500 with a traceback in the log.

Cause: decoding JSON raises RecursionError as well, which the handlers did not expect; the HTTP server turned it into 500, so no process ended. Found while looking for the class of the crashing request elsewhere: an input that fails whoever handles it and is handed to the next one.

The errors of decoding a body are named once, in utils/web.py.

--- a/medlarhoist/platform/announcement.py
+++ b/medlarhoist/platform/announcement.py
@@ -1,10 +1,11 @@
 """Decodes heartbeats and leaves of instances into notices of targets."""
 
-from msgspec import DecodeError, Struct, ValidationError, convert, field, json
+from msgspec import Struct, ValidationError, convert, field, json
 from result import Err, Ok, Result
 
 from medlarhoist.core.target import TargetNotice
 from medlarhoist.platform.names import TARGET_PHASES
+from medlarhoist.utils.web import JSON_ERRORS
 
 
 class _Heartbeat(Struct, kw_only=True):
@@ -38,7 +39,7 @@
     """
     try:
         heartbeat = json.decode(body, type=_Heartbeat)
-    except (DecodeError, ValidationError, UnicodeDecodeError) as exc:
+    except JSON_ERRORS as exc:
         return Err(f'heartbeat: {exc}')
     phase = TARGET_PHASES.get(heartbeat.phase)
     if phase is None:
@@ -71,5 +72,5 @@
     """
     try:
         return json.decode(body, type=_Leave).born_ms
-    except (DecodeError, ValidationError, UnicodeDecodeError):
+    except JSON_ERRORS:
         return 0
--- a/medlarhoist/platform/announcement_test.py
+++ b/medlarhoist/platform/announcement_test.py
@@ -54,10 +54,15 @@
 
 def test_a_body_that_cannot_be_decoded_is_refused(heartbeat):
     body = json.dumps(heartbeat).encode()
-    for malformed in (b'', b'\xff%b' % body, body[:-1], b'[]', b'{}'):
+    nested = b'{"new":%b' % (b'[' * 100_000)
+    for malformed in (b'', b'\xff%b' % body, body[:-1], b'[]', b'{}', nested):
         assert isinstance(read_heartbeat('i-1', malformed), Err)
 
 
+def test_a_leave_is_valid_however_deep_its_body_is_nested():
+    assert read_leave(b'{"new":%b' % (b'[' * 100_000)) == 0
+
+
 def test_a_late_heartbeat_of_an_earlier_run_is_ignored(heartbeat):
     old = _read(heartbeat, 'i-1').ok_value
     new = _read(heartbeat, 'i-2', born=BORN_MS + 5, sequence=1).ok_value
--- a/medlarhoist/platform/configuration.py
+++ b/medlarhoist/platform/configuration.py
@@ -6,7 +6,7 @@
 
 from typing import Any, Final
 
-from msgspec import DecodeError, Struct, ValidationError, field, json
+from msgspec import Struct, field, json
 from result import Err, Ok, Result
 
 from medlarhoist.core.api_messages import REVISION_LIMIT, ReplaceRequest
@@ -23,6 +23,7 @@
     IDEMPOTENT_ROUTE_TYPES,
     NON_IDEMPOTENT_ROUTE_TYPES,
 )
+from medlarhoist.utils.web import JSON_ERRORS
 
 _MS_PER_SECOND: Final = 1000
 
@@ -95,7 +96,7 @@
     try:
         doc = json.decode(body, type=_Document)
         text = body.decode()
-    except (DecodeError, ValidationError, UnicodeDecodeError) as exc:
+    except JSON_ERRORS as exc:
         return Err(f'configuration: {exc}')
     fault = _find_fault(doc)
     if fault:
--- a/medlarhoist/platform/configuration_test.py
+++ b/medlarhoist/platform/configuration_test.py
@@ -190,6 +190,13 @@
     assert after == state
 
 
+def test_a_body_that_is_nested_too_deeply_changes_nothing(state):
+    """Status 500 would have it sent to one source after the other."""
+    after, status = _put(state, b'{"new":%b' % (b'[' * 100_000))
+    assert status is None
+    assert after is state
+
+
 def test_a_truncated_body_changes_nothing(document, state):
     body = _encode(document)
     for size in range(0, len(body), 37):
--- a/medlarhoist/platform/operators.py
+++ b/medlarhoist/platform/operators.py
@@ -2,7 +2,7 @@
 
 from typing import Any, Final
 
-from msgspec import DecodeError, Struct, ValidationError, field, json
+from msgspec import Struct, field, json
 from result import Err
 
 from medlarhoist.core.command import MovePhase, MoveState, Outcome, Status
@@ -22,7 +22,13 @@
 from medlarhoist.source.ledger_link import peer_from_endpoint
 from medlarhoist.source.standby import Standby
 from medlarhoist.utils.loop import Host
-from medlarhoist.utils.web import Site, WebRequest, WebResponse, create_site
+from medlarhoist.utils.web import (
+    JSON_ERRORS,
+    Site,
+    WebRequest,
+    WebResponse,
+    create_site,
+)
 
 CHANNEL: Final = 'operators'
 OPERATOR: Final = 'platform'
@@ -100,7 +106,7 @@
     async def _start_move(self, body: bytes) -> WebResponse:
         try:
             start = json.decode(body, type=_StartMove)
-        except (DecodeError, ValidationError, UnicodeDecodeError) as exc:
+        except JSON_ERRORS as exc:
             return _error_response(400, f'move: {exc}')
         duration_ms = round(start.duration_s * _MS_PER_SECOND)
         writer = self._app.write_access.writer
--- a/medlarhoist/utils/admin.py
+++ b/medlarhoist/utils/admin.py
@@ -8,13 +8,19 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from msgspec import DecodeError, ValidationError, json
+from msgspec import json
 
 from medlarhoist.core.target import TargetNotice
 from medlarhoist.utils.loop import Host
 from medlarhoist.utils.metrics import CONTENT_TYPE, Metrics
 from medlarhoist.utils.redact import encode_dump
-from medlarhoist.utils.web import Site, WebRequest, WebResponse, create_site
+from medlarhoist.utils.web import (
+    JSON_ERRORS,
+    Site,
+    WebRequest,
+    WebResponse,
+    create_site,
+)
 
 CHANNEL: Final = 'admin'
 
@@ -86,7 +92,7 @@
             return _refuse(405, 'only PUT and DELETE are served here')
         try:
             notice = json.decode(request.body, type=TargetNotice)
-        except (DecodeError, ValidationError, UnicodeDecodeError) as exc:
+        except JSON_ERRORS as exc:
             return _refuse(400, f'body: {exc}')
         self._on_target_notice(notice)
         return WebResponse(body=b'{}')
--- a/medlarhoist/utils/admin_test.py
+++ b/medlarhoist/utils/admin_test.py
@@ -75,6 +75,19 @@
     assert b'medlarhoist_process_cpu_seconds_total ' in rendered[1]
 
 
+def test_a_notice_that_is_nested_too_deeply_is_refused():
+    body = b'{"new":%b' % (b'[' * 100_000)
+
+    def client(address):
+        return _request(address, 'PUT', '/target', body)[0]
+
+    callbacks = {
+        'on_target_notice': lambda notice: None,
+        'on_target_removed': lambda: None,
+    }
+    assert _run(client, **callbacks) == 400
+
+
 def test_an_operator_releases_a_request():
     released = []
 
--- a/medlarhoist/utils/web.py
+++ b/medlarhoist/utils/web.py
@@ -18,11 +18,18 @@
 from circuits.web.events import response
 from circuits.web.servers import BaseServer
 from loguru import logger
-from msgspec import Struct
+from msgspec import DecodeError, Struct, ValidationError
 
 from medlarhoist.utils.framing import Framer, Refusal
 from medlarhoist.utils.loop import Host
 
+# What decoding a body as JSON raises; it recurses into nested values.
+JSON_ERRORS: Final = (
+    DecodeError,
+    ValidationError,
+    UnicodeDecodeError,
+    RecursionError,
+)
 JSON_CONTENT_TYPE: Final = 'application/json'
 CONNECTIONS_LIMIT: Final = 1024
 MAX_IDLE_SECONDS: Final = 60.0
