Crash targets by a request in the soak of calls

One request crashes each target that begins to run it, beside cut connections, drains, leaves, replaced targets and restarted nodes. The soak checks that it ends at most six targets (three show it, three more are allowed) and that no other request is convicted. With record_death taken out, the soak finds it (its test). The port of a stand-in target is kept while it is closed.

--- a/bench/calls_soak.py
+++ b/bench/calls_soak.py
@@ -1,8 +1,9 @@
 """Calls soak: injects random faults into a mesh under load, by seed.
 
 Targets refuse, fail and slow down, connections are closed on every hop, and
-targets drain and become ready again, leave and are replaced, nodes restart, and
-one target names a limit, under load with mixed deadlines. At the end, the
+targets drain and become ready again, leave and are replaced, nodes restart, one
+target names a limit, and one request crashes each target that runs it, under
+load with mixed deadlines. At the end, the
 outcomes that callers received are compared with the requests that the targets
 recorded.
 """
@@ -22,6 +23,7 @@
 from medlarhoist.core.target import TargetPhase
 from medlarhoist.standin.load import Plan, Summary, run_load
 from medlarhoist.standin.target_options import Fault
+from medlarhoist.utils.tasks import cancel_all, start_task
 
 NODES = 4
 SLOTS = 6
@@ -31,6 +33,11 @@
 RESTART_SHARE = 0.03
 MAX_FAULT_INTERVAL_S = 0.05
 DEADLINES_MS = (5, 40, 400, 3000)
+DEADLY = 'deadly'
+DEADLY_RATE = 8.0
+DOWN_S = 0.3
+# Three runs show that a request crashes its targets; three more are allowed.
+MAX_CRASHES = 6
 
 
 class Verdicts(Struct, frozen=True):
@@ -48,6 +55,8 @@
             sent them had heard that it leaves.
         above_limit: requests above those that the limited target accepts.
         errors: errors that the nodes logged.
+        crashes: targets that one request has crashed.
+        convicted: requests that are refused as they crash targets.
     """
 
     sent: int
@@ -59,6 +68,8 @@
     after_leave: int = 0
     above_limit: float = 0
     errors: int = 0
+    crashes: int = 0
+    convicted: int = 0
 
     @property
     def is_passed(self) -> bool:
@@ -67,8 +78,15 @@
         is_clean = not self.crossed and not self.errors
         are_targets_heard = not self.after_leave and self.above_limit <= 0
         is_within_slots = self.peak <= SLOTS
+        is_contained = self.crashes <= MAX_CRASHES and self.convicted <= 1
         return all(
-            (are_outcomes_true, is_clean, are_targets_heard, is_within_slots)
+            (
+                are_outcomes_true,
+                is_clean,
+                are_targets_heard,
+                is_within_slots,
+                is_contained,
+            )
         )
 
 
@@ -124,22 +142,49 @@
 )
 
 
-async def run_seed(seed: int, seconds: float) -> Verdicts:
-    """Run the load with the faults of one seed and return the results."""
-    rng = random.Random(seed)  # noqa: S311
-    mesh = Mesh()
-    errors: list[str] = []
-    sink = logger.add(errors.append, level='ERROR')
-    for number in range(NODES):
-        await mesh.add('ab'[number % 2], slots=SLOTS, work_ms=10)
+async def _crash_targets(mesh: Mesh, crashes: list[int]) -> None:
+    """Crash each target that has begun to run a deadly request.
+
+    Args:
+        mesh: the nodes and targets.
+        crashes: gets the number of each crashed target.
+    """
+    seen: set[str] = set()
+    while True:
+        for number, record in enumerate(mesh.records):
+            deadly = {one for one in record.ran if one.startswith(DEADLY)}
+            if deadly - seen:
+                crashes.append(number)
+                start_task(_crash(mesh, number, f'crash-{len(crashes)}'))
+            seen |= deadly
+        await asyncio.sleep(0.005)
+
+
+async def _crash(mesh: Mesh, number: int, run_id: str) -> None:
+    target = mesh.targets[number]
+    target.close()
+    target.abort_connections(1)
+    await asyncio.sleep(DOWN_S)
+    await target.start(target.port)
+    mesh.start_run(number, run_id)
+
+
+def _start_loads(
+    mesh: Mesh,
+    seconds: float,
+    rng: random.Random,
+) -> list[asyncio.Task[Summary]]:
+    plan = Plan(
+        addresses=tuple(cfg.entry for cfg in mesh.settings),
+        rate=RATE,
+        seconds=seconds,
+        method='POST',
+    )
     loads = [
-        asyncio.ensure_future(
+        start_task(
             run_load(
-                Plan(
-                    addresses=tuple(cfg.entry for cfg in mesh.settings),
-                    rate=RATE,
-                    seconds=seconds,
-                    method='POST',
+                structs.replace(
+                    plan,
                     body_bytes=rng.choice((0, 10, 200_000)),
                     headers=(f'X-Deadline-Ms: {deadline_ms}',),
                     prefix=f'within-{deadline_ms}',
@@ -148,6 +193,30 @@
         )
         for deadline_ms in DEADLINES_MS
     ]
+    deadly = structs.replace(
+        plan,
+        rate=DEADLY_RATE,
+        method='GET',
+        paths=('/deadly',),
+        prefix=DEADLY,
+    )
+    return [*loads, start_task(run_load(deadly))]
+
+
+async def run_seed(seed: int, seconds: float) -> Verdicts:
+    """Run the load with the faults of one seed and return the results."""
+    rng = random.Random(seed)  # noqa: S311
+    mesh = Mesh()
+    errors: list[str] = []
+    sink = logger.add(errors.append, level='ERROR')
+    for number in range(NODES):
+        await mesh.add('ab'[number % 2], slots=SLOTS, work_ms=10)
+    loads = _start_loads(mesh, seconds, rng)
+    crashes: list[int] = []
+    background = [
+        start_task(mesh.spread_suspicions()),
+        start_task(_crash_targets(mesh, crashes)),
+    ]
     mesh.targets[LIMITED].state.limit = LIMIT
     began = time.monotonic()
     while not all(load.done() for load in loads):
@@ -156,12 +225,23 @@
         fault = rng.choice(FAULTS)
         fault(mesh, rng.randrange(NODES), rng)
         await asyncio.sleep(MAX_FAULT_INTERVAL_S * rng.random())
+    await cancel_all(background)
     summaries = [load.result() for load in loads]
     await mesh.close()
     logger.remove(sink)
-    verdicts = compare_outcomes(mesh, summaries)
     excess = _count_excess(mesh, time.monotonic() - began)
-    return structs.replace(verdicts, errors=len(errors), above_limit=excess)
+    return structs.replace(
+        compare_outcomes(mesh, summaries),
+        errors=len(errors),
+        above_limit=excess,
+        crashes=len(crashes),
+        convicted=_count_convicted(mesh),
+    )
+
+
+def _count_convicted(mesh: Mesh) -> int:
+    records = mesh.quarantines[0].export(time.monotonic())
+    return sum(record.is_quarantined for record in records)
 
 
 def _count_excess(mesh: Mesh, seconds: float) -> float:
--- a/bench/calls_soak_test.py
+++ b/bench/calls_soak_test.py
@@ -5,8 +5,9 @@
 import pytest
 from msgspec.structs import replace
 
-from bench.calls_soak import run_seed
+from bench.calls_soak import MAX_CRASHES, run_seed
 from medlarhoist.core.header_names import DEFAULT_HEADER_NAMES
+from medlarhoist.core.quarantine import Quarantine
 from medlarhoist.core.rate_limit import RateLimiter
 from medlarhoist.core.verdict import Verdict
 
@@ -41,6 +42,15 @@
     pytest.fail('the limit was kept')
 
 
+def test_the_soak_detects_requests_that_crash_targets(monkeypatch):
+    """Nodes do not remember which requests were in progress."""
+    monkeypatch.setattr(Quarantine, 'record_death', lambda *ignored: None)
+    for seed in range(1, 6):
+        if asyncio.run(run_seed(seed, 2.0)).crashes > MAX_CRASHES:
+            return
+    pytest.fail('no request crashed more targets than is allowed')
+
+
 def test_the_soak_detects_calls_after_a_leave(monkeypatch):
     """Nodes do not read that a target leaves."""
     names = replace(DEFAULT_HEADER_NAMES, leaving=b'unread')
--- a/medlarhoist/standin/target_server.py
+++ b/medlarhoist/standin/target_server.py
@@ -331,22 +331,22 @@
 
 
 class TargetServer:
-    """HTTP server of a stand-in target on a local port."""
+    """HTTP server of a stand-in target on a local port.
 
-    __slots__ = ('_connections', '_server', 'state')
+    Args:
+        port: port that it listens on, or did before it was closed.
+        state: state of the target.
+    """
+
+    __slots__ = ('_connections', '_server', 'port', 'state')
 
     def __init__(self, state: TargetState) -> None:
         """Create a server, which listens once it is started."""
+        self.port = 0
         self.state = state
         self._connections: set[TargetConnection] = set()
         self._server: asyncio.Server | None = None
 
-    @property
-    def port(self) -> int:
-        """Return the port that the started server listens on."""
-        assert self._server is not None
-        return int(self._server.sockets[0].getsockname()[1])
-
     async def start(self, port: int = 0) -> None:
         """Listen on 127.0.0.1; port zero selects a free one."""
         loop = asyncio.get_running_loop()
@@ -355,6 +355,7 @@
             '127.0.0.1',
             port,
         )
+        self.port = int(self._server.sockets[0].getsockname()[1])
 
     def abort_connections(self, fraction: float) -> None:
         """Abort a random fraction (0 to 1) of connections, as in a crash."""
