Count the crash of a target that is about to leave

What callers could see: a request that crashes its targets is not convicted where these leave or drain meanwhile, and goes on to the next ones.

Cause: a lost connection counted as planned from the first notice of a leave on, whether or not the target had ended. A target that leaves serves for some time, and ends like any other in that time. Requests that a planned end cuts become suspects with one run, and are cleared when they complete.

Test: crash_test.py -k leaves, red before.

The wait of a suspect uses asyncio.timeout, as asyncio.wait_for of Python 3.11 may swallow the cancellation of a caller that has left.

--- a/medlarhoist/node/proxy/crash_test.py
+++ b/medlarhoist/node/proxy/crash_test.py
@@ -6,6 +6,7 @@
 import pytest
 
 from medlarhoist.core.quarantine import DEATHS_TO_QUARANTINE
+from medlarhoist.core.target import TargetPhase
 
 DEADLY = '/sights/deadly'
 HELD = '/sights/held'
@@ -174,6 +175,29 @@
     assert [result.status for result in results][1:] == [200] * 3
 
 
+def test_a_crash_of_a_target_that_leaves_counts(run_mesh, add_targets):
+    """It has been told to leave while the request was in progress."""
+
+    async def scenario(mesh):
+        targets = await add_targets(mesh)
+        call = asyncio.create_task(mesh.post(DEADLY))
+        async with asyncio.timeout(5):
+            while not any(target.runs for target in targets):
+                await asyncio.sleep(0.01)
+        for number, target in enumerate(targets, start=2):
+            mesh.notify(number, target.port, TargetPhase.DRAINING)
+        await call
+        return [
+            record.deaths
+            for quarantine in mesh.quarantines
+            for record in quarantine.export(0)
+        ]
+
+    deaths = run_mesh(scenario)
+    assert deaths
+    assert set(deaths) == {1}
+
+
 def test_another_body_is_another_request(run_mesh, add_targets):
     async def scenario(mesh):
         targets = await add_targets(mesh)
--- a/medlarhoist/node/proxy/local.py
+++ b/medlarhoist/node/proxy/local.py
@@ -133,13 +133,11 @@
         """
         before = self._notice
         self._notice = notice
-        self.suspects.address = ''
         if notice is None or notice.phase is not TargetPhase.READY:
             self._slots.refuse_waiters()
-        else:
-            self.suspects.address = notice.address
         if notice is None:
             return
+        self.suspects.address = notice.address
         self.stated.start_run(notice.run_key)
         if before is None or not is_same_run(before, notice):
             self.suspects.start_run()
@@ -353,7 +351,6 @@
             log_limit(condition)
         self._slots.set_rate(condition.rate)
         if condition.is_leaving:
-            self.suspects.address = ''
             self._slots.refuse_waiters()
             self.on_leaving(condition.run_key)
 
--- a/medlarhoist/node/proxy/suspects.py
+++ b/medlarhoist/node/proxy/suspects.py
@@ -59,8 +59,8 @@
     """The suspects among the requests to the target beside this node.
 
     Args:
-        address: host:port of the target; empty if there is none, or if it
-            leaves and ends its connections as planned.
+        address: host:port of the last target, also of one that leaves; empty
+            before the first one.
         quarantine: the suspects that this node knows of.
         deaths: runs of requests that ended with their target.
         refused: requests that were not sent as they are suspects.
@@ -121,7 +121,8 @@
                 self.refused += 1
                 return refuse_suspect(record, reason)
             with suppress(TimeoutError):
-                await asyncio.wait_for(self._next_end.wait(), left_s)
+                async with asyncio.timeout(left_s):
+                    await self._next_end.wait()
         return None
 
     async def begin(
@@ -207,7 +208,7 @@
             goes on, or if the request was cleared meanwhile.
         """
         try:
-            if not self.address or not run.request.body.has_prefix:
+            if not run.request.body.has_prefix:
                 return None
             fingerprint = run.request.make_fingerprint(self._key)
             loss = Loss(fingerprint, run, time.monotonic())
