End soak targets in the request that crashes them

The soak looked each 5 ms for a target that had begun to run the deadly request and crashed it then. On a busy machine the request, 10 ms of work, could complete before and was cleared rightly. The stand-in target now ends by itself when the request begins.

--- a/bench/calls_soak.py
+++ b/bench/calls_soak.py
@@ -14,6 +14,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 
 import defopt
 from loguru import logger
@@ -23,6 +24,7 @@
 from medlarhoist.core.target import TargetPhase
 from medlarhoist.standin.load import Plan, Summary, run_load
 from medlarhoist.standin.target_options import Fault
+from medlarhoist.standin.target_server import CRASH_PATH
 from medlarhoist.utils.tasks import cancel_all, start_task
 
 NODES = 4
@@ -33,7 +35,6 @@
 RESTART_SHARE = 0.03
 MAX_FAULT_INTERVAL_S = 0.05
 DEADLINES_MS = (5, 40, 400, 3000)
-DEADLY = 'deadly'
 DEADLY_RATE = 8.0
 DOWN_S = 0.3
 # Three runs show that a request crashes its targets; three more are allowed.
@@ -142,30 +143,32 @@
 )
 
 
-async def _crash_targets(mesh: Mesh, crashes: list[int]) -> None:
-    """Crash each target that has begun to run a deadly request.
+def _prepare_crashes(mesh: Mesh) -> list[int]:
+    """Let targets crash; return a list that gets the index of each that does."""
+    crashes: list[int] = []
+    for number, target in enumerate(mesh.targets):
+        target.state.crash = partial(_crash, mesh, number, crashes)
+    return crashes
+
+
+def _crash(mesh: Mesh, number: int, crashes: list[int]) -> None:
+    """Crash a target, which starts again at the same address.
 
     Args:
         mesh: the nodes and targets.
-        crashes: gets the number of each crashed target.
+        number: index of the target.
+        crashes: gets the index of each crashed target.
     """
-    seen: set[str] = set()
-    while True:
-        for number, record in enumerate(mesh.records):
-            deadly = {one for one in record.ran if one.startswith(DEADLY)}
-            if deadly - seen:
-                crashes.append(number)
-                start_task(_crash(mesh, number, f'crash-{len(crashes)}'))
-            seen |= deadly
-        await asyncio.sleep(0.005)
-
-
-async def _crash(mesh: Mesh, number: int, run_id: str) -> None:
+    crashes.append(number)
     target = mesh.targets[number]
     target.close()
     target.abort_connections(1)
+    start_task(_start_again(mesh, number, f'crash-{len(crashes)}'))
+
+
+async def _start_again(mesh: Mesh, number: int, run_id: str) -> None:
     await asyncio.sleep(DOWN_S)
-    await target.start(target.port)
+    await mesh.targets[number].start(mesh.targets[number].port)
     mesh.start_run(number, run_id)
 
 
@@ -197,8 +200,8 @@
         plan,
         rate=DEADLY_RATE,
         method='GET',
-        paths=('/deadly',),
-        prefix=DEADLY,
+        paths=(CRASH_PATH,),
+        prefix='deadly',
     )
     return [*loads, start_task(run_load(deadly))]
 
@@ -211,12 +214,9 @@
     sink = logger.add(errors.append, level='ERROR')
     for number in range(NODES):
         await mesh.add('ab'[number % 2], slots=SLOTS, work_ms=10)
+    crashes = _prepare_crashes(mesh)
     loads = _start_loads(mesh, seconds, rng)
-    crashes: list[int] = []
-    background = [
-        start_task(mesh.spread_suspicions()),
-        start_task(_crash_targets(mesh, crashes)),
-    ]
+    spreading = start_task(mesh.spread_suspicions())
     mesh.targets[LIMITED].state.limit = LIMIT
     began = time.monotonic()
     while not all(load.done() for load in loads):
@@ -225,7 +225,7 @@
         fault = rng.choice(FAULTS)
         fault(mesh, rng.randrange(NODES), rng)
         await asyncio.sleep(MAX_FAULT_INTERVAL_S * rng.random())
-    await cancel_all(background)
+    await cancel_all((spreading,))
     summaries = [load.result() for load in loads]
     await mesh.close()
     logger.remove(sink)
--- a/medlarhoist/standin/target_server.py
+++ b/medlarhoist/standin/target_server.py
@@ -9,6 +9,7 @@
 import random
 import time
 from collections import Counter
+from collections.abc import Callable
 from typing import Any, Final
 
 import msgspec
@@ -22,6 +23,7 @@
 WORK_HEADER: Final = 'x-work-ms'
 SIZE_HEADER: Final = 'x-size'
 DID_NOT_RUN_LINE: Final = 'x-did-not-run: true\r\n'
+CRASH_PATH: Final = '/crash'
 LIMIT_HEADER: Final = 'x-request-limit'
 LEAVE_GRACE_S: Final = 0.5
 LEAVING_LINE: Final = 'x-target-leaving: 1\r\n'
@@ -74,11 +76,14 @@
         limit: requests per second that responses name as the limit, zero for
             no limit. It is not enforced.
         rng: random numbers for faults.
+        crash: called by a request of CRASH_PATH, which gets no response; it
+            closes the listener and all connections. None for no crash.
         told: when a response first stated that the target leaves, monotonic
             seconds, by the process of an entry node that had sent the request.
     """
 
     __slots__ = (
+        'crash',
         'is_leaving',
         'is_refusing',
         'limit',
@@ -101,6 +106,7 @@
         self.started = time.monotonic()
         self.is_refusing = False
         self.is_leaving = False
+        self.crash: Callable[[], None] | None = None
         self.told: dict[str, float] = {}
         self.limit = options.limit
         self.rng = random.Random(seed)  # noqa: S311  faults, not secrets
@@ -190,6 +196,9 @@
 
 
 async def _work(state: TargetState, request: Request) -> Response:
+    if state.crash is not None and request.path == CRASH_PATH:
+        state.crash()
+        await asyncio.get_running_loop().create_future()
     options = state.options
     headers = request.headers
     work_ms = float(headers.get(WORK_HEADER, options.work_ms))
