Clear a suspect that its target answers with an error

What callers could see: a request that is in progress when a target ends, and that targets always answer with 404 or 500, stays a suspect for ten minutes and runs in one place at a time meanwhile; many callers of it would be refused.

Cause: only responses below 400 cleared a suspect, though a target that answers has survived the request. All but those by which a target may say that it has not begun (408, 421, 429, 503, 504) clear it now. Found in reading the change. Test: crash_test.py -k error, red before.

--- a/medlarhoist/core/quarantine.py
+++ b/medlarhoist/core/quarantine.py
@@ -33,6 +33,8 @@
 CAPACITY: Final = 1024
 QUARANTINED: Final = 'request has crashed its targets'
 RECORDS_PER_SYNC: Final = 256
+# The target may have sent them without having begun to run the request.
+_UNCERTAIN_STATUSES: Final = frozenset((408, 421, 429, 503, 504))
 _MS_PER_SECOND: Final = 1000
 _MAX_DOUBLINGS: Final = 10
 _Count = Annotated[int, Meta(ge=0, le=1_000_000)]
@@ -68,6 +70,17 @@
         return self.deaths >= DEATHS_TO_QUARANTINE
 
 
+def shows_completion(status: int) -> bool:
+    """Return whether a response shows that its target has run the request.
+
+    Errors do as well, since the target has survived it.
+
+    Args:
+        status: HTTP status of a complete response.
+    """
+    return status not in _UNCERTAIN_STATUSES
+
+
 def format_suspicion(record: Suspicion) -> bytes:
     """Return the header value by which nodes send a record."""
     return json.encode(record)
--- a/medlarhoist/node/proxy/call_suspicion.py
+++ b/medlarhoist/node/proxy/call_suspicion.py
@@ -2,7 +2,11 @@
 
 import time
 
-from medlarhoist.core.quarantine import QUARANTINED, Quarantine
+from medlarhoist.core.quarantine import (
+    QUARANTINED,
+    Quarantine,
+    shows_completion,
+)
 from medlarhoist.node.proxy.attempt import Failure
 from medlarhoist.node.proxy.call import Call
 from medlarhoist.node.proxy.suspects import refuse_suspect
@@ -51,8 +55,13 @@
             known = (failure.suspicion,)
             self._quarantine.merge(known, time.monotonic())
 
-    def record_success(self, call: Call) -> None:
-        """Clear the request of a call that got a complete response."""
-        if call.suspicion is not None:
+    def record_response(self, call: Call, status: int) -> None:
+        """Clear the request of a call that got a complete response.
+
+        Args:
+            call: the call.
+            status: HTTP status of the response.
+        """
+        if call.suspicion is not None and shows_completion(status):
             fingerprint = call.suspicion.fingerprint
             self._quarantine.clear(fingerprint, time.monotonic())
--- a/medlarhoist/node/proxy/crash_test.py
+++ b/medlarhoist/node/proxy/crash_test.py
@@ -10,6 +10,7 @@
 
 DEADLY = '/sights/deadly'
 HELD = '/sights/held'
+MISSING = '/sights/missing'
 DOWN_S = 0.3
 WORK_S = 0.1
 
@@ -75,7 +76,8 @@
         if path.startswith(DEADLY):
             asyncio.ensure_future(self.crash())
             await asyncio.sleep(1)
-        writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok')
+        status = b'404' if path == MISSING else b'200'
+        writer.write(b'HTTP/1.1 %b -\r\nContent-Length: 2\r\n\r\nok' % status)
         await writer.drain()
 
 
@@ -198,6 +200,29 @@
     assert set(deaths) == {1}
 
 
+def test_a_suspect_that_gets_an_error_is_cleared(run_mesh, add_targets):
+    """Otherwise it would run in one place at a time until it is forgotten."""
+
+    async def scenario(mesh):
+        targets = await add_targets(mesh)
+        call = asyncio.create_task(mesh.post(MISSING))
+        async with asyncio.timeout(5):
+            while not any(target.runs for target in targets):
+                await asyncio.sleep(0.01)
+        await asyncio.gather(*(target.crash() for target in targets))
+        await call
+        before = [len(one.export(0)) for one in mesh.quarantines]
+        result = await mesh.post(MISSING, 'again')
+        await asyncio.sleep(0.2)
+        records = [one.export(0) for one in mesh.quarantines]
+        return before, result.status, records
+
+    before, status, records = run_mesh(scenario)
+    assert any(before)
+    assert status == 404
+    assert not any(record.deaths for one in records for record in one)
+
+
 def test_another_body_is_another_request(run_mesh, add_targets):
     async def scenario(mesh):
         targets = await add_targets(mesh)
--- a/medlarhoist/node/proxy/entry.py
+++ b/medlarhoist/node/proxy/entry.py
@@ -13,7 +13,6 @@
 from medlarhoist.core.balance import SelectionContext
 from medlarhoist.core.budget import RetryBudgets
 from medlarhoist.core.header_names import (
-    ERROR_STATUS,
     find_parent_id,
     read_request_id,
 )
@@ -347,9 +346,9 @@
         self._parts.observer.record_response(
             call, response, is_complete=is_whole
         )
-        if is_whole and response.head.status < ERROR_STATUS:
-            self._parts.suspicions.record_success(call)
         if is_whole:
+            status = response.head.status
+            self._parts.suspicions.record_response(call, status)
             took_s = call.processing_s(
                 call.attempt_started,
                 response.body.ended_at,
--- a/medlarhoist/node/proxy/local.py
+++ b/medlarhoist/node/proxy/local.py
@@ -19,7 +19,6 @@
 )
 from medlarhoist.core.deadline import left_for_next_hop_ms
 from medlarhoist.core.header_names import (
-    ERROR_STATUS,
     HeaderNames,
     has_request_id,
     is_mismatched_response,
@@ -28,6 +27,7 @@
 )
 from medlarhoist.core.headers import REQUEST_HEADER, Header, find_header
 from medlarhoist.core.presence import is_same_run
+from medlarhoist.core.quarantine import shows_completion
 from medlarhoist.core.resource import Service
 from medlarhoist.core.target import TargetNotice, TargetPhase
 from medlarhoist.core.verdict import SERVER_FAULT_STATUS, Verdict
@@ -239,8 +239,8 @@
             if response.body.is_lost:
                 start_task(self.suspects.handle_loss(run))
             else:
-                is_success = is_whole and status < ERROR_STATUS
-                self.suspects.end(run, is_success=is_success)
+                has_completed = is_whole and shows_completion(status)
+                self.suspects.end(run, has_completed=has_completed)
 
         response.on_finished(finish)
         return self._check_response(response, sent, call, run_key)
--- a/medlarhoist/node/proxy/suspects.py
+++ b/medlarhoist/node/proxy/suspects.py
@@ -166,18 +166,19 @@
         self._runs.begin(record)
         return SuspectRun(request, record)
 
-    def end(self, run: SuspectRun, *, is_success: bool = False) -> None:
+    def end(self, run: SuspectRun, *, has_completed: bool = False) -> None:
         """Record that a request does not run any more.
 
         Args:
             run: the run.
-            is_success: whether its response is complete and no error.
+            has_completed: whether its response is complete and shows that the
+                target has run it.
         """
         if run.known is not None:
             self._runs.end(run.known.fingerprint)
             self._next_end.set()
             self._next_end = asyncio.Event()
-        if not is_success or not self.quarantine.entries:
+        if not has_completed or not self.quarantine.entries:
             return
         # Another run of it may have made it a suspect meanwhile.
         fingerprint = run.request.make_fingerprint(self._key)
