Try a convicted request after a minute, and release all at once

What callers could see: targets that crash whatever they run, as those of a bad version, convict requests that have done nothing; after the version was taken back they were refused for five minutes, and an operator had to release each by its fingerprint.

The first trial comes after a minute now, and the next ones after twice as long each time, so three trials take seven minutes. `medlarhoist release ADDRESS all` releases all. The test of the refusal compared Retry-After with 60 s, below the former 300 s; it now asserts both bounds around the time of the first trial.

--- a/medlarhoist/core/quarantine.py
+++ b/medlarhoist/core/quarantine.py
@@ -26,7 +26,7 @@
 # A suspect that has ended so many runs is tried with no other suspect beside
 # it, so that the next run tells them apart.
 DEATHS_TO_ISOLATE: Final = 2
-FIRST_TRIAL_S: Final = 300.0
+FIRST_TRIAL_S: Final = 60.0
 MAX_TRIAL_S: Final = 14_400.0
 # How long a suspect, or that it was cleared, is remembered without news.
 SUSPECT_TTL_S: Final = 600.0
@@ -213,6 +213,10 @@
             return False
         return self._adopt(Suspicion(fingerprint, record.clears + 1), now)
 
+    def clear_all(self, now: float) -> int:
+        """Clear all suspects; return how many there were."""
+        return sum([self.clear(name, now) for name in tuple(self.entries)])
+
     def export(self, now: float) -> tuple[Suspicion, ...]:
         """Return the most important records, at most RECORDS_PER_SYNC."""
         ranked = sorted(
--- a/medlarhoist/core/quarantine_test.py
+++ b/medlarhoist/core/quarantine_test.py
@@ -92,6 +92,14 @@
     assert quarantine.find(GUILTY, later) is None
 
 
+def test_all_suspects_are_cleared_at_once(quarantine):
+    _convict(quarantine)
+    quarantine.record_death(OTHER, None, NOW)
+    assert quarantine.clear_all(NOW) == 2
+    assert quarantine.find(GUILTY, NOW) is None
+    assert quarantine.clear_all(NOW) == 0
+
+
 def test_a_suspect_runs_once_at_a_time():
     runs = SuspectRuns()
     record = Suspicion(GUILTY, deaths=1)
--- a/medlarhoist/node/app.py
+++ b/medlarhoist/node/app.py
@@ -30,6 +30,7 @@
 
 # Time before the end of the grace period at which requests are ended.
 EXIT_S: Final = 0.5
+ALL_SUSPECTS: Final = 'all'
 _MS_PER_SECOND: Final = 1000
 CreateSites = Callable[[Host, 'NodeApp'], tuple[Site, ...]]
 
@@ -164,10 +165,17 @@
     def _release(self, fingerprint: str) -> bool:
         """Release a request from quarantine, at all nodes, as asked for.
 
+        Args:
+            fingerprint: identifies the request; `all` for all suspects.
+
         Returns:
-            False if it is no suspect.
+            False if there is no such suspect.
         """
-        is_released = self._quarantine.clear(fingerprint, time.monotonic())
+        now = time.monotonic()
+        if fingerprint == ALL_SUSPECTS:
+            is_released = bool(self._quarantine.clear_all(now))
+        else:
+            is_released = self._quarantine.clear(fingerprint, now)
         if is_released:
             logger.bind(fingerprint=fingerprint).warning(
                 'quarantine: an operator released a request'
--- a/medlarhoist/node/proxy/crash_test.py
+++ b/medlarhoist/node/proxy/crash_test.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from medlarhoist.core.quarantine import DEATHS_TO_QUARANTINE
+from medlarhoist.core.quarantine import DEATHS_TO_QUARANTINE, FIRST_TRIAL_S
 from medlarhoist.core.target import TargetPhase
 
 DEADLY = '/sights/deadly'
@@ -121,7 +121,8 @@
     assert crashes == DEATHS_TO_QUARANTINE
     last = results[-1]
     assert (last.status, last.verdict) == (503, 'did-not-run')
-    assert float(last.headers['retry-after']) > 60
+    left_s = float(last.headers['retry-after'])
+    assert FIRST_TRIAL_S - 10 < left_s <= FIRST_TRIAL_S
 
 
 def test_requests_beside_a_deadly_one_are_not_refused(run_mesh, add_targets):
--- a/medlarhoist/ops/process_commands.py
+++ b/medlarhoist/ops/process_commands.py
@@ -26,7 +26,8 @@
 
     Args:
         address: host:port of the admin listener of any node.
-        fingerprint: fingerprint of the request in dumps and log lines.
+        fingerprint: fingerprint of the request in dumps and log lines; `all`
+            for all requests.
     """
     reply = fetch(address, f'/quarantine/{fingerprint}', 'DELETE')
     if reply.status != 200:
