Read the echoed id with the function that was there

has_request_id repeated read_request_id; the one difference is an id that is present but empty, which now counts as none. Two tests share their wait for the first run of a target, with the same assertions. Checks and the tests of node and core pass.

--- a/medlarhoist/core/header_names.py
+++ b/medlarhoist/core/header_names.py
@@ -104,13 +104,6 @@
     return flag is not None and flag not in _FALSE_VALUES
 
 
-def has_request_id(names: HeaderNames, headers: Sequence[Header]) -> bool:
-    """Return whether headers contain the caller's id of a request."""
-    if not names.request_id:
-        return False
-    return find_header(headers, names.request_id) is not None
-
-
 def is_mismatched_response(
     names: HeaderNames,
     sent: Sequence[Header],
--- a/medlarhoist/core/quarantine.py
+++ b/medlarhoist/core/quarantine.py
@@ -100,7 +100,8 @@
     Args:
         record: the record.
         changed_at: when it last changed.
-        trial_at: when the request may run again; zero unless quarantined.
+        trial_at: when the request may run again; in the past unless it is in
+            quarantine.
         sent: packets that it was sent in since it changed.
     """
 
--- a/medlarhoist/node/proxy/crash_test.py
+++ b/medlarhoist/node/proxy/crash_test.py
@@ -99,6 +99,12 @@
     return add
 
 
+async def _await_any_run(targets):
+    async with asyncio.timeout(5):
+        while not any(target.runs for target in targets):
+            await asyncio.sleep(0.01)
+
+
 async def _send_often(mesh, count, path=DEADLY, **options):
     results = []
     for number in range(count):
@@ -184,9 +190,7 @@
     async def scenario(mesh):
         targets = await add_targets(mesh)
         call = asyncio.create_task(mesh.post(DEADLY))
-        async with asyncio.timeout(5):
-            while not any(target.runs for target in targets):
-                await asyncio.sleep(0.01)
+        await _await_any_run(targets)
         for number, target in enumerate(targets, start=2):
             mesh.notify(number, target.port, TargetPhase.DRAINING)
         await call
@@ -207,9 +211,7 @@
     async def scenario(mesh):
         targets = await add_targets(mesh)
         call = asyncio.create_task(mesh.post(MISSING))
-        async with asyncio.timeout(5):
-            while not any(target.runs for target in targets):
-                await asyncio.sleep(0.01)
+        await _await_any_run(targets)
         await asyncio.gather(*(target.crash() for target in targets))
         await call
         before = [len(one.export(0)) for one in mesh.quarantines]
--- a/medlarhoist/node/proxy/local.py
+++ b/medlarhoist/node/proxy/local.py
@@ -20,7 +20,6 @@
 from medlarhoist.core.deadline import left_for_next_hop_ms
 from medlarhoist.core.header_names import (
     HeaderNames,
-    has_request_id,
     is_mismatched_response,
     is_refusal,
     read_request_id,
@@ -293,8 +292,8 @@
             self.mismatched += 1
             response.discard()
             return Failure(Verdict.MAY_HAVE_RUN, 'crossed answer', 502)
-        has_id = echoed is not None or has_request_id(
-            self._header_names, headers
+        has_id = echoed is not None or bool(
+            read_request_id(self._header_names, headers),
         )
         is_copy = self._echoes_ids and not has_id
         self._echoes_ids = self._echoes_ids or has_id
