Report any error of a case's script as a case that could not run

An exception other than the expected ones ended the script with 1, which means that the rule was broken.

--- a/review/lib/mesh.py
+++ b/review/lib/mesh.py
@@ -605,7 +605,8 @@
         mesh = Mesh(keep or temporary, record)
         try:
             broken = asyncio.run(_run(main, mesh, has_trouble))
-        except (CannotRun, TimeoutError) as exc:
+        except Exception as exc:
+            # Whatever stops the case says nothing about the rule.
             record.write(f'cannot run: {exc!r}')
             print(f'cannot run: {exc!r}')
             return 2
