--- a/review/3/case.py
+++ b/review/3/case.py
@@ -110,4 +110,4 @@
 
 
 if __name__ == '__main__':
-    sys.exit(run_case(main, Path(__file__).parent))
+    sys.exit(run_case(main, Path(__file__).parent / 'record.txt'))
--- a/review/lib/mesh.py
+++ b/review/lib/mesh.py
@@ -70,20 +70,24 @@
         self._file.close()
 
 
-def find_base_port():
-    """Return the first of a range of ports that nothing listens on."""
+def find_base_port(host):
+    """Return the first of a range of ports that nothing listens on.
+
+    Args:
+        host: a loopback address of the mesh.
+    """
     for _ in range(200):
         base = random.randrange(20000, 30000, 64)
-        if all(_is_free(base + offset) for offset in range(40)):
+        if all(_is_free(host, base + offset) for offset in range(40)):
             return base
     raise CannotRun('no free range of ports')
 
 
-def _is_free(port):
+def _is_free(host, port):
     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
         with socket.socket(socket.AF_INET, kind) as sock:
             try:
-                sock.bind(('0.0.0.0', port))
+                sock.bind((host, port))
             except OSError:
                 return False
     return True
@@ -436,7 +440,8 @@
     def __init__(self, folder, record):
         self.folder = Path(folder)
         self.record = record
-        self.base = find_base_port()
+        net = random.randrange(10, 250)
+        self.base = find_base_port(f'127.{net}.1.1')
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         self.commands = {}
         for role, entry in deploy['roles'].items():
@@ -444,7 +449,6 @@
             if words[0] == 'python3':
                 words[0] = sys.executable
             self.commands[role] = words
-        net = random.randrange(10, 250)
         self.cores = [
             Machine(self, f'core-{zone}', zone, f'127.{net}.{n}.1', 'source')
             for n, zone in enumerate(ZONES, start=1)
@@ -589,16 +593,16 @@
     }
 
 
-def run_case(main, folder):
+def run_case(main, record_path):
     """Run a case and return its exit code: 1 broken, 0 held, 2 not run.
 
     Args:
         main: coroutine function of the mesh and whether there is trouble; it
             returns the texts of what broke the rule.
-        folder: folder of the case, for its record.
+        record_path: record.txt in the folder of the case; it is written anew.
     """
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
-    record = Record(Path(folder) / 'record.txt')
+    record = Record(record_path)
     record.write(f'trouble: {has_trouble}')
     with tempfile.TemporaryDirectory() as temporary:
         keep = os.environ.get('KEEP_LOGS')
