Allocate ports whose last connections are in TIME_WAIT

A fleet of nodes ran out of the ports of its block ("no free port is left") where other fleets had used the block in the same process shortly before: the probe for a free port refused those in TIME_WAIT, though listeners can use them. Seen in distribution_faults_test after several other fleet tests in one worker. The test is red without the change.

--- a/bench/ports.py
+++ b/bench/ports.py
@@ -72,8 +72,14 @@
     return blocks[offset:] + blocks[:offset]
 
 
-def _bind(port: int, kind: int) -> socket.socket | None:
+def _bind(
+    port: int,
+    kind: int,
+    *,
+    reuse: bool = False,
+) -> socket.socket | None:
     bound = socket.socket(socket.AF_INET, kind)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, reuse)
     try:
         bound.bind((LOOPBACK, port))
     except OSError:
@@ -83,11 +89,18 @@
 
 
 def _is_free(port: int) -> bool:
-    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-        probe = _bind(port, kind)
-        if probe is None:
-            return False
-        probe.close()
+    """Return whether a listener and a datagram socket can use a port.
+
+    Listeners use ports whose last connections are in TIME_WAIT.
+    """
+    listener = _bind(port, socket.SOCK_STREAM, reuse=True)
+    if listener is None:
+        return False
+    listener.close()
+    datagrams = _bind(port, socket.SOCK_DGRAM)
+    if datagrams is None:
+        return False
+    datagrams.close()
     return True
 
 
