Hold withdrawals of targets at other nodes

Other nodes knew of the leave but never told that node, as they sent it no calls.

Nodes now hold one another's withdrawals: which run drains or has left, and which of its notices are outdated. The record of the last leave within the node is replaced by them; a target that states its leave in a response is removed in the same way.

--- a/bench/distribution_fleet.py
+++ b/bench/distribution_fleet.py
@@ -1,7 +1,6 @@
 """Distribution fleet: sources and nodes in one process, on loopback.
 
-Only configurations and targets are distributed: nodes forward no calls, and
-bench.distribution_fake stands in for the replicated log.
+Nodes forward no calls; bench.distribution_fake replaces the replicated log.
 """
 
 import asyncio
@@ -16,9 +15,9 @@
 from bench.distribution_links import BlockableChannels, Listener
 from bench.ports import PortPool
 from medlarhoist.core.command import Activate, Outcome, Status
-from medlarhoist.core.quarantine import Quarantine
 from medlarhoist.core.resource import Route, Service, TargetVersion
 from medlarhoist.core.settings import NodeSettings, Peer, SourceSettings
+from medlarhoist.core.shared_records import create_shared_records
 from medlarhoist.core.snapshot import Snapshot
 from medlarhoist.core.state import Staged
 from medlarhoist.node.configuration import (
@@ -32,6 +31,7 @@
 )
 from medlarhoist.node.gossip import create_membership
 from medlarhoist.node.registry import TargetRegistry, create_registry
+from medlarhoist.node.target_registration import TargetRegistration
 from medlarhoist.source.distributor import Distributor, create_distributor
 from medlarhoist.utils.clock import wall_ms
 from medlarhoist.utils.traffic import Traffic
@@ -88,9 +88,11 @@
         'configuration',
         'distribution',
         'quarantine',
+        'registration',
         'registry',
         'server',
         'versions',
+        'withdrawals',
     )
 
     def __init__(
@@ -100,8 +102,7 @@
     ) -> None:
         """Create the components; nothing is served before start.
 
-        A compile function replaces the default, for nodes that refuse a
-        version.
+        A compile function that refuses versions replaces the default.
         """
         self.cfg = cfg
         membership = create_membership(cfg, wall_ms())
@@ -109,7 +110,9 @@
             compile_function
         )
         self.registry: TargetRegistry = create_registry(membership)
-        self.quarantine = Quarantine()
+        shared = create_shared_records(cfg)
+        self.quarantine = shared.quarantine
+        self.withdrawals = shared.withdrawals
         self.channels = BlockableChannels(KEY.encode(), cfg.name, Traffic())
         self.distribution: Distribution = create_distribution(
             cfg,
@@ -118,7 +121,11 @@
             membership,
             NoEvidence(),
             self.channels,
-            self.quarantine,
+            shared,
+        )
+        replicate = self.distribution.replicate_withdrawals
+        self.registration = TargetRegistration(
+            cfg, self.registry, lambda _: None, self.withdrawals, replicate
         )
         self.server: Listener | None = None
         self.versions: list[int] = []
--- a/medlarhoist/core/membership_probe.py
+++ b/medlarhoist/core/membership_probe.py
@@ -26,6 +26,7 @@
     suspect,
 )
 from medlarhoist.core.quarantine import Suspicion
+from medlarhoist.core.withdrawal import Withdrawal
 
 RETRY_DEAD_PERIODS: Final = 5
 
@@ -53,6 +54,7 @@
         subject: gossip address that the receiver of a relay shall probe.
         updates: records of members that have changed.
         suspicions: records of requests that are suspected to crash targets.
+        withdrawals: runs of targets of this domain that drain or have left.
     """
 
     kind: PacketKind
@@ -61,6 +63,7 @@
     subject: str = ''
     updates: tuple[Member, ...] = ()
     suspicions: tuple[Suspicion, ...] = ()
+    withdrawals: tuple[Withdrawal, ...] = ()
 
 
 class Outgoing(Struct, frozen=True):
--- a/medlarhoist/core/presence.py
+++ b/medlarhoist/core/presence.py
@@ -130,7 +130,6 @@
     presence: Presence,
     *,
     is_leaving: bool,
-    leaving_run: str = '',
 ) -> Target | None:
     """Return the target beside a node as the node announces it to others.
 
@@ -138,8 +137,6 @@
         cfg: settings of the node.
         presence: the presence of its target.
         is_leaving: whether the node itself stops, which drains its target.
-        leaving_run: key of a run that has stated that it leaves, empty for
-            none.
 
     Returns:
         The target, also one with a run id that has left; None where the node
@@ -151,7 +148,6 @@
         notice = presence.last
     if notice is None or (has_left and not notice.run_key):
         return None
-    has_left = has_left or notice.run_key == leaving_run
     run_key = notice.run_key if has_left else ''
     is_leaving = is_leaving or bool(run_key)
     return Target(
--- a/medlarhoist/core/quarantine.py
+++ b/medlarhoist/core/quarantine.py
@@ -21,6 +21,7 @@
 from msgspec.structs import replace
 
 from medlarhoist.core.fingerprint import Fingerprint
+from medlarhoist.core.spread import pop_unsent
 
 DEATHS_TO_QUARANTINE: Final = 3
 # A suspect that has ended so many runs is tried with no other suspect beside
@@ -239,11 +240,8 @@
             limit: packets in which each record is sent.
             now: present time.
         """
-        unsent = [
-            entry for entry in self.entries.values() if entry.sent < limit
-        ]
-        unsent.sort(key=lambda entry: entry.sent)
-        return tuple(_send(entry, now) for entry in unsent[:count])
+        unsent = pop_unsent(self.entries.values(), count, limit)
+        return tuple(entry.export(now) for entry in unsent)
 
     def expire(self, now: float) -> None:
         """Forget suspects, and that they were cleared, after SUSPECT_TTL_S."""
@@ -302,11 +300,6 @@
         self._running.pop(fingerprint, None)
 
 
-def _send(entry: Entry, now: float) -> Suspicion:
-    entry.sent += 1
-    return entry.export(now)
-
-
 def _ignore() -> None:
     """Ignore a change."""
 
--- a/medlarhoist/core/target.py
+++ b/medlarhoist/core/target.py
@@ -11,6 +11,9 @@
 
 MAX_PORT: Final = 65_535
 MAX_SLOTS: Final = 10_000
+# The year 10,000 or so; far enough from where numbers lose precision.
+MAX_MILLISECONDS: Final = 2**48
+MAX_SEQUENCE: Final = 2**53
 LOOPBACK: Final = '127.0.0.1'
 ServiceName = Annotated[str, Meta(pattern='^[a-z0-9][a-z0-9.-]{0,62}$')]
 
--- a/medlarhoist/node/app.py
+++ b/medlarhoist/node/app.py
@@ -8,8 +8,8 @@
 from loguru import logger
 
 from medlarhoist.core.header_names import DEFAULT_HEADER_NAMES, HeaderNames
-from medlarhoist.core.quarantine import Quarantine
 from medlarhoist.core.settings import NodeSettings
+from medlarhoist.core.shared_records import create_shared_records
 from medlarhoist.core.snapshot import Share
 from medlarhoist.node.clamp import create_clamp
 from medlarhoist.node.configuration import create_configuration
@@ -65,7 +65,8 @@
             self._active_shares,
             self._services_without_version,
         )
-        self._quarantine = Quarantine(is_enabled=cfg.quarantine)
+        shared = create_shared_records(cfg)
+        self._quarantine = shared.quarantine
         self._proxy = create_proxy(
             cfg,
             self._configuration,
@@ -81,12 +82,14 @@
             self._registry,
             membership,
             self._recorder,
-            quarantine=self._quarantine,
+            shared=shared,
         )
         self.target_registration = TargetRegistration(
             cfg,
             self._registry,
             self._proxy.set_local_target,
+            shared.withdrawals,
+            self._distribution.replicate_withdrawals,
         )
         self._proxy.on_target_leaving(self.target_registration.mark_leaving)
 
--- a/medlarhoist/node/distribution.py
+++ b/medlarhoist/node/distribution.py
@@ -12,18 +12,20 @@
 
 from msgspec import Struct
 
-from medlarhoist.core.backoff import delay_seconds, max_delay_seconds
 from medlarhoist.core.interfaces import EvidenceSource
 from medlarhoist.core.membership import MembershipState, live_members
-from medlarhoist.core.quarantine import Quarantine
 from medlarhoist.core.settings import NodeSettings
+from medlarhoist.core.shared_records import (
+    SharedRecords,
+    create_shared_records,
+)
 from medlarhoist.node.configuration import (
     Configuration,
     ConfigurationView,
     view_configuration,
 )
 from medlarhoist.node.downlink import Downlink
-from medlarhoist.node.floor_client import ask_floor
+from medlarhoist.node.floor_client import await_floor
 from medlarhoist.node.gossip import Gossip, GossipView
 from medlarhoist.node.join import Directory
 from medlarhoist.node.keeper import Keeper, KeeperView
@@ -32,6 +34,7 @@
 from medlarhoist.node.registry import TargetRegistry
 from medlarhoist.node.uplink import Uplink, UplinkView
 from medlarhoist.node.uplink_receiver import Receiver
+from medlarhoist.node.withdrawal_exchange import WithdrawalExchange
 from medlarhoist.utils.tasks import cancel_all
 from medlarhoist.utils.traffic import Traffic, TrafficView
 from medlarhoist.wire.channels import Channels, create_channels
@@ -92,6 +95,7 @@
         '_registry',
         '_tasks',
         '_uplink',
+        '_withdrawal_exchange',
         'directory',
     )
 
@@ -103,7 +107,7 @@
         membership: MembershipState,
         evidence: EvidenceSource,
         channels: Channels,
-        quarantine: Quarantine,
+        shared: SharedRecords,
     ) -> None:
         """Create the parts; `start` runs them."""
         random = Random()  # noqa: S311  spreads load, not for security
@@ -118,7 +122,10 @@
         self._configuration = configuration
         self.directory = directory
         self._downlink = downlink
-        self._gossip = Gossip(cfg, membership, channels, random, quarantine)
+        self._gossip = Gossip(cfg, membership, channels, random, shared)
+        self._withdrawal_exchange = WithdrawalExchange(
+            cfg, channels, directory, membership, random, shared
+        )
         self._keeper = keeper
         self._keeper_loop = KeeperLoop(
             cfg,
@@ -137,7 +144,7 @@
             cfg, channels, directory, keeper, receiver, random
         )
         self._exchange = KeeperExchange(
-            cfg, channels, directory, keeper, registry, random, quarantine
+            cfg, channels, directory, keeper, registry, random, shared
         )
         self._register_callbacks()
 
@@ -149,6 +156,7 @@
             **self._exchange.procedures(),
             **self._gossip.procedures(),
             **self._keeper.procedures(),
+            **self._withdrawal_exchange.procedures(),
         }
 
     @property
@@ -167,6 +175,10 @@
             asyncio.ensure_future(self._send_heartbeats()),
         ]
 
+    async def replicate_withdrawals(self) -> None:
+        """Let other nodes hold what targets have said of their leaving."""
+        await self._withdrawal_exchange.replicate()
+
     async def stop(self) -> None:
         """Redirect the children, detach and leave the domain."""
         await cancel_all(self._tasks)
@@ -224,21 +236,14 @@
         return ''
 
     async def _read_floor(self) -> None:
-        attempt = 0
-        while True:
-            self._keeper.adopt(self.directory.domain_keepers)
-            floor = await ask_floor(
-                self._cfg,
-                self._channels,
-                self._keeper,
-                self.directory.leader,
-            )
-            if floor is not None:
-                break
-            longest = max_delay_seconds(len(self._control_addresses()) + 1)
-            wait = delay_seconds(attempt, self._random, longest)
-            await asyncio.sleep(wait)
-            attempt += 1
+        floor = await await_floor(
+            self._cfg,
+            self._channels,
+            self._keeper,
+            self.directory,
+            self._random,
+            lambda: len(self._control_addresses()) + 1,
+        )
         self._configuration.set_floor(floor)
         self._uplink.mark_changed()
 
@@ -287,7 +292,7 @@
     membership: MembershipState,
     evidence: EvidenceSource,
     channels: Channels | None = None,
-    quarantine: Quarantine | None = None,
+    shared: SharedRecords | None = None,
 ) -> Distribution:
     """Create the distribution of a node; its `start` runs it.
 
@@ -298,8 +303,7 @@
         membership: its membership state; the registry uses the same object.
         evidence: results of its calls, which are sent up the tree.
         channels: its connections; None creates them from the settings.
-        quarantine: the suspects that it knows of, which it exchanges; None
-            for its own.
+        shared: the records that it exchanges; None starts without any.
     """
     if channels is None:
         channels = create_channels(cfg.shared_key, cfg.name, Traffic())
@@ -310,5 +314,5 @@
         membership,
         evidence,
         channels,
-        quarantine or Quarantine(),
+        shared or create_shared_records(cfg),
     )
--- a/medlarhoist/node/floor_client.py
+++ b/medlarhoist/node/floor_client.py
@@ -7,12 +7,16 @@
 not accept, and the leader replies only after a round to a majority of them.
 """
 
-from collections.abc import Coroutine
+import asyncio
+from collections.abc import Callable, Coroutine
+from random import Random
 from typing import Any
 
+from medlarhoist.core.backoff import delay_seconds, max_delay_seconds
 from medlarhoist.core.command import KeeperSet
 from medlarhoist.core.floor import FloorReply, newest_set, read_floor
 from medlarhoist.core.settings import NodeSettings
+from medlarhoist.node.join import Directory
 from medlarhoist.node.keeper import Keeper
 from medlarhoist.utils.tasks import gather_until
 from medlarhoist.wire.channels import Channels
@@ -20,6 +24,35 @@
 from medlarhoist.wire.procedures import FLOOR
 
 
+async def await_floor(
+    cfg: NodeSettings,
+    channels: Channels,
+    keeper: Keeper,
+    directory: Directory,
+    random: Random,
+    count_members: Callable[[], int],
+) -> int:
+    """Query for the floor until it is known, and return it.
+
+    Args:
+        cfg: settings of this node.
+        channels: connections to other processes.
+        keeper: state of this node as a keeper; see ask_floor.
+        directory: the keeper sets and the leader as this node knows them.
+        random: spreads the queries in time.
+        count_members: returns the number of the domain's live members.
+    """
+    attempt = 0
+    while True:
+        keeper.adopt(directory.domain_keepers)
+        floor = await ask_floor(cfg, channels, keeper, directory.leader)
+        if floor is not None:
+            return floor
+        longest = max_delay_seconds(count_members())
+        await asyncio.sleep(delay_seconds(attempt, random, longest))
+        attempt += 1
+
+
 async def ask_floor(
     cfg: NodeSettings,
     channels: Channels,
--- a/medlarhoist/node/gossip.py
+++ b/medlarhoist/node/gossip.py
@@ -11,7 +11,6 @@
 
 from loguru import logger
 from msgspec import Struct
-from msgspec.structs import replace
 
 from medlarhoist.core.membership import (
     Member,
@@ -33,8 +32,8 @@
     push_updates,
     receive,
 )
-from medlarhoist.core.quarantine import Quarantine, Suspicion
 from medlarhoist.core.settings import NodeSettings
+from medlarhoist.core.shared_records import SharedRecords
 from medlarhoist.utils.clock import monotonic_seconds
 from medlarhoist.utils.tasks import cancel_all
 from medlarhoist.wire.auth import is_signed, sign
@@ -49,8 +48,6 @@
 SYNC_INTERVAL_SECONDS: Final = 30.0
 SEED_PROBE_INTERVAL_SECONDS: Final = 1.0
 DIGEST_OCTETS: Final = 16
-# Some 45 bytes each; a packet stays below the size of an Ethernet frame.
-SUSPICIONS_PER_PACKET: Final = 12
 
 
 class GossipView(Struct, frozen=True, kw_only=True):
@@ -82,7 +79,7 @@
         membership: MembershipState,
         channels: Channels,
         random: Random,
-        quarantine: Quarantine,
+        shared: SharedRecords,
     ) -> None:
         """Create the exchange; see start.
 
@@ -91,9 +88,9 @@
             membership: the members as this node has received them; updated.
             channels: connections to the control listeners of other processes.
             random: chooses members and spreads the exchanges in time.
-            quarantine: the suspects that this node knows of; updated.
+            shared: what it holds for other nodes; updated.
         """
-        self._quarantine = quarantine
+        self._shared = shared
         self._cfg = cfg
         self._key = cfg.shared_key.encode()
         self._membership = membership
@@ -122,7 +119,7 @@
             return
         self._channels.traffic.count_received(packet, len(data))
         loop = asyncio.get_running_loop()
-        self._quarantine.merge(packet.suspicions, monotonic_seconds())
+        self._shared.merge(packet, monotonic_seconds())
         self._send(receive(self._prober, packet, loop.time()))
         self.schedule_push()
 
@@ -132,7 +129,7 @@
     def schedule_push(self) -> None:
         """Push records not sent yet, after `PUSH_DELAY_SECONDS`."""
         has_updates = 0 in self._membership.send_counts.values()
-        if not has_updates and not self._quarantine.has_unsent():
+        if not has_updates and not self._shared.has_unsent():
             return
         if self._push_scheduled:
             return
@@ -146,7 +143,7 @@
         Raises:
             OSError: the address is not available.
         """
-        self._quarantine.on_change = self.schedule_push
+        self._shared.on_change(self.schedule_push)
         host, _, port = self._cfg.gossip.rpartition(':')
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(
@@ -184,12 +181,12 @@
             request = Sync(
                 domain=self._cfg.domain,
                 digest=digest_members(self._membership),
-                suspicions=_export(self._quarantine),
             )
+            request = self._shared.attach(request, monotonic_seconds())
             reply = await self._channels.try_call(address, SYNC, request)
             if reply is None:
                 continue
-            self._quarantine.merge(reply.suspicions, monotonic_seconds())
+            self._shared.merge(reply, monotonic_seconds())
             if reply.members:
                 self._merge(reply.members)
                 full_sync = _create_full_sync(self._membership)
@@ -214,11 +211,11 @@
         request: Sync = await stream.recv_message()
         if request.domain == self._cfg.domain:
             self._merge(request.members)
-        self._quarantine.merge(request.suspicions, monotonic_seconds())
+        self._shared.merge(request, monotonic_seconds())
         reply = _create_full_sync(self._membership)
         if reply.digest == request.digest:
             reply = Sync(domain=reply.domain, digest=reply.digest)
-        reply = replace(reply, suspicions=_export(self._quarantine))
+        reply = self._shared.attach(reply, monotonic_seconds())
         await stream.send_message(reply)
 
     def _merge(self, members: tuple[Member, ...]) -> None:
@@ -227,17 +224,14 @@
 
     def _push(self) -> None:
         self._push_scheduled = False
-        has_news = self._quarantine.has_unsent()
+        has_news = self._shared.has_unsent()
         self._send(push_updates(self._prober, self._random, has_news=has_news))
 
     def _send(self, outgoing: list[Outgoing]) -> None:
+        now = monotonic_seconds()
+        limit = retransmissions(self._membership)
         for datagram in outgoing:
-            suspicions = self._quarantine.pop_updates(
-                SUSPICIONS_PER_PACKET,
-                retransmissions(self._membership),
-                monotonic_seconds(),
-            )
-            packet = replace(datagram.packet, suspicions=suspicions)
+            packet = self._shared.attach_updates(datagram.packet, limit, now)
             body = encode(packet)
             data = sign(self._key, body) + body
             host, _, port = datagram.address.rpartition(':')
@@ -273,10 +267,6 @@
                 await asyncio.sleep(SEED_PROBE_INTERVAL_SECONDS)
 
 
-def _export(quarantine: Quarantine) -> tuple[Suspicion, ...]:
-    return quarantine.export(monotonic_seconds())
-
-
 def _names_with_status(
     membership: MembershipState, status: MemberStatus
 ) -> tuple[str, ...]:
--- a/medlarhoist/node/keeper_exchange.py
+++ b/medlarhoist/node/keeper_exchange.py
@@ -13,8 +13,8 @@
 
 from msgspec.structs import replace
 
-from medlarhoist.core.quarantine import Quarantine
 from medlarhoist.core.settings import NodeSettings
+from medlarhoist.core.shared_records import SharedRecords
 from medlarhoist.core.summary import (
     NO_MARK,
     Summary,
@@ -23,6 +23,7 @@
     next_summary,
     sample_targets,
 )
+from medlarhoist.core.withdrawal import Withdrawal
 from medlarhoist.node.join import Directory
 from medlarhoist.node.keeper import Keeper
 from medlarhoist.node.registry import TargetRegistry
@@ -47,9 +48,9 @@
         '_directory',
         '_keeper',
         '_on_summary',
-        '_quarantine',
         '_random',
         '_registry',
+        '_shared',
         '_summary',
         '_task',
     )
@@ -62,10 +63,10 @@
         keeper: Keeper,
         registry: TargetRegistry,
         random: Random,
-        quarantine: Quarantine,
+        shared: SharedRecords,
     ) -> None:
         """Create the exchange; `start` runs it."""
-        self._quarantine = quarantine
+        self._shared = shared
         self._cfg = cfg
         self._channels = channels
         self._directory = directory
@@ -103,10 +104,10 @@
             if not self._keeper.is_keeper:
                 continue
             mark = mark_of(self._refresh())
-            has_news = suspicions_sent != self._quarantine.revision
+            has_news = suspicions_sent != self._shared.quarantine.revision
             if mark != sent or has_news or self._is_turn(period):
                 sent = mark
-                suspicions_sent = self._quarantine.revision
+                suspicions_sent = self._shared.quarantine.revision
                 await self._query_all()
 
     def _is_turn(self, period: int) -> bool:
@@ -138,14 +139,24 @@
             domain=self._cfg.domain,
             mark=mark_of(summary),
             known=self._registry.marks().get(domain, NO_MARK),
-            suspicions=self._quarantine.export(monotonic_seconds()),
+            suspicions=self._shared.quarantine.export(monotonic_seconds()),
+            withdrawals_digest=self._shared.withdrawals.digest(
+                self._cfg.domain
+            ),
         )
         reply = await self._channels.try_call(address, EXCHANGE, request)
         if reply is None:
             return
         self._record(reply)
-        if is_wanted(reply.known, request.mark):
-            full_request = replace(request, summary=summary, suspicions=())
+        is_summary_wanted = is_wanted(reply.known, request.mark)
+        withdrawals = self._list_missing(reply.withdrawals_digest)
+        if is_summary_wanted or withdrawals:
+            full_request = replace(
+                request,
+                summary=summary if is_summary_wanted else None,
+                suspicions=(),
+                withdrawals=withdrawals,
+            )
             await self._channels.try_call(address, EXCHANGE, full_request)
 
     async def _serve(self, stream: Any) -> None:
@@ -153,15 +164,31 @@
         self._record(request)
         summary = self._refresh()
         mark = mark_of(summary)
+        digest = self._shared.withdrawals.digest(request.domain)
+        withdrawals: tuple[Withdrawal, ...] = ()
+        if digest != request.withdrawals_digest:
+            withdrawals = self._shared.withdrawals.export(
+                request.domain, monotonic_seconds()
+            )
         reply = Exchange(
             domain=self._cfg.domain,
             mark=mark,
             known=self._registry.marks().get(request.domain, NO_MARK),
             summary=summary if is_wanted(request.known, mark) else None,
-            suspicions=self._quarantine.export(monotonic_seconds()),
+            suspicions=self._shared.quarantine.export(monotonic_seconds()),
+            withdrawals_digest=digest,
+            withdrawals=withdrawals,
         )
         await stream.send_message(reply)
 
+    def _list_missing(self, digest: str) -> tuple[Withdrawal, ...]:
+        """Return what a node with this digest may lack of this domain."""
+        if digest == self._shared.withdrawals.digest(self._cfg.domain):
+            return ()
+        return self._shared.withdrawals.export(
+            self._cfg.domain, monotonic_seconds()
+        )
+
     def _refresh(self) -> Summary:
         self._summary = next_summary(
             self._summary,
@@ -172,7 +199,7 @@
         return self._summary
 
     def _record(self, message: Exchange) -> None:
-        self._quarantine.merge(message.suspicions, monotonic_seconds())
+        self._shared.merge(message, monotonic_seconds())
         summary = message.summary
         if summary is not None and self._registry.update_summary(summary):
             self._on_summary(summary)
--- a/medlarhoist/node/target_registration.py
+++ b/medlarhoist/node/target_registration.py
@@ -5,11 +5,10 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 from loguru import logger
-from msgspec import Struct
 
 from medlarhoist.core.presence import (
     Presence,
@@ -22,7 +21,8 @@
     remove_target,
 )
 from medlarhoist.core.settings import NodeSettings
-from medlarhoist.core.target import TargetNotice
+from medlarhoist.core.target import TargetNotice, TargetPhase
+from medlarhoist.core.withdrawal import Withdrawals
 from medlarhoist.node.registry import TargetRegistry
 from medlarhoist.utils.clock import monotonic_seconds, wall_ms
 from medlarhoist.utils.tasks import cancel_all
@@ -32,32 +32,7 @@
 LEFT_SECONDS: Final = 10.0
 
 SetTarget = Callable[[TargetNotice | None], None]
-
-
-class _Leave(Struct, frozen=True):
-    """The last leave that a node has received.
-
-    Args:
-        run_id: id of the run that has left, empty if it has none.
-        born_ms: when it started, milliseconds since 1970; zero if unknown.
-        received_at: seconds of the monotonic clock.
-    """
-
-    run_id: str = ''
-    born_ms: int = 0
-    received_at: float = 0
-
-    def is_followed_by(self, notice: TargetNotice, now: float) -> bool:
-        """Return whether a notice of the run that has left is late.
-
-        Without the start of that run, a notice of the next run with its id
-        looks alike, so the leave counts for `LEFT_SECONDS` only.
-        """
-        if not self.run_id or notice.run_id != self.run_id:
-            return False
-        if self.born_ms:
-            return notice.born_ms <= self.born_ms
-        return now - self.received_at < LEFT_SECONDS
+Replicate = Callable[[], Awaitable[None]]
 
 
 class TargetRegistration:
@@ -71,12 +46,12 @@
 
     __slots__ = (
         '_cfg',
-        '_last_leave',
-        '_leaving_run',
         '_left_seconds',
         '_registry',
+        '_replicate',
         '_set_target',
         '_tasks',
+        '_withdrawals',
         'is_leaving',
         'presence',
     )
@@ -86,6 +61,8 @@
         cfg: NodeSettings,
         registry: TargetRegistry,
         set_target: SetTarget,
+        withdrawals: Withdrawals,
+        replicate: Replicate,
     ) -> None:
         """Start without a target.
 
@@ -93,12 +70,17 @@
             cfg: settings of the node.
             registry: announces the target to the failure domain.
             set_target: updates the proxy to a notice, None for no target.
+            withdrawals: what runs have said of their leaving, as this node
+                and others have received it.
+            replicate: sends the withdrawals to other nodes; returns when they
+                hold them, or after a short while.
         """
         self._cfg = cfg
-        self._leaving_run = ''
         self._left_seconds = float()
-        self._last_leave = _Leave()
         self._registry = registry
+        self._replicate = replicate
+        self._withdrawals = withdrawals
+        withdrawals.on_merge = self._apply_withdrawals
         self._set_target = set_target
         self._tasks: list[asyncio.Task[None]] = []
         self.is_leaving = False
@@ -122,22 +104,43 @@
         self._announce()
 
     def mark_leaving(self, run_key: str) -> None:
-        """Announce a run as draining, since it states that it leaves.
+        """Remove the target if its run states that it leaves.
 
         Its notices may still report it as ready.
 
         Args:
             run_key: key of the run.
         """
-        if run_key != self._leaving_run:
-            self._leaving_run = run_key
-            logger.bind(run=run_key).info('target: states that it leaves')
-            self._announce()
+        notice = self.presence.notice
+        if notice is not None and notice.run_key == run_key:
+            self._withdrawals.record(
+                notice.run_id, notice.born_ms, monotonic_seconds()
+            )
+            self._remove_target('it states that it leaves', has_left=True)
+
+    async def accept(self, notice: TargetNotice) -> None:
+        """Apply a notice, and return once its acknowledgement is safe.
+
+        The node may restart after it has acknowledged that the target drains,
+        so that other nodes must know it as well.
+        """
+        begins_to_drain = self._begins_to_drain(notice)
+        self.receive(notice)
+        if begins_to_drain:
+            await self._replicate()
+
+    async def accept_leave(self, run_id: str, born_ms: int) -> None:
+        """Remove the target, and return once its acknowledgement is safe.
+
+        See `remove`.
+        """
+        self.remove(run_id, born_ms)
+        await self._replicate()
 
     def receive(self, notice: TargetNotice) -> None:
         """Apply a notice of the target; an outdated one is ignored."""
         now = monotonic_seconds()
-        is_late = self._last_leave.is_followed_by(notice, now)
+        is_late = self._withdrawals.find(notice, now) is not None
         if is_late or is_outdated(self.presence, notice):
             logger.bind(run=notice.run_id, sequence=notice.sequence).info(
                 'target: outdated notice ignored',
@@ -148,6 +151,10 @@
             _log_notice(notice, 'target: new run')
         elif previous.phase is not notice.phase:
             _log_notice(notice, 'target: phase changed')
+        if self._begins_to_drain(notice):
+            self._withdrawals.record(
+                notice.run_id, notice.born_ms, now, notice.sequence
+            )
         self.presence = receive_notice(
             self.presence,
             notice,
@@ -161,20 +168,36 @@
         """Remove the target, which announced that it leaves.
 
         The leave of another run than the current one removes nothing, but
-        later notices of that run are ignored: after a restart of the node, the
-        leave of a run can come before its first notice.
+        later notices of that run are ignored, also after a restart of the
+        node: the leave of a run can come before its first notice.
 
         Args:
             run_id: id of the run that leaves; empty for the current one.
             born_ms: when that run started, milliseconds since 1970; zero if
                 unknown.
         """
-        self._last_leave = _Leave(run_id, born_ms, monotonic_seconds())
+        newest = self.presence.last
+        if newest is not None and run_id in {'', newest.run_id}:
+            self._withdrawals.record(
+                newest.run_id, born_ms or newest.born_ms, monotonic_seconds()
+            )
+        else:
+            self._withdrawals.record(run_id, born_ms, monotonic_seconds())
         if is_leave_outdated(self.presence, run_id, born_ms):
             logger.bind(run=run_id).info('target: outdated leave ignored')
             return
         self._remove_target('it has left', has_left=True)
 
+    def _begins_to_drain(self, notice: TargetNotice) -> bool:
+        before = self.presence.notice
+        if notice.phase is not TargetPhase.DRAINING:
+            return False
+        return (
+            before is None
+            or before.phase is not TargetPhase.DRAINING
+            or not is_same_run(before, notice)
+        )
+
     def _remove_target(self, reason: str, *, has_left: bool) -> None:
         notice = self.presence.notice
         if notice is None:
@@ -185,12 +208,26 @@
         self._set_target(None)
         self._announce()
 
+    def _apply_withdrawals(self) -> None:
+        """Remove the target if other nodes know that its run has left."""
+        notice = self.presence.notice
+        if notice is None:
+            return
+        known = self._withdrawals.find(notice, monotonic_seconds())
+        if known is not None:
+            self._remove_target(
+                'other nodes know that it leaves', has_left=known.has_left
+            )
+
     def expire(self, now: float) -> None:
         """Withdraw a target that has left `LEFT_SECONDS` ago.
 
+        Also forget withdrawals that no notice can be late for any more.
+
         Args:
             now: seconds of the monotonic clock.
         """
+        self._withdrawals.expire(now)
         since_leave_s = now - self._left_seconds
         if self.presence.has_left and since_leave_s >= LEFT_SECONDS:
             self._registry.withdraw()
@@ -200,7 +237,6 @@
             self._cfg,
             self.presence,
             is_leaving=self.is_leaving,
-            leaving_run=self._leaving_run,
         )
         if target is None:
             self._registry.withdraw()
--- a/medlarhoist/node/target_registration_test.py
+++ b/medlarhoist/node/target_registration_test.py
@@ -5,6 +5,7 @@
 
 from bench.calls_static import create_settings
 from medlarhoist.core.target import TargetNotice, TargetPhase
+from medlarhoist.core.withdrawal import Withdrawals
 from medlarhoist.node.gossip import create_membership
 from medlarhoist.node.registry import create_registry
 from medlarhoist.node.target_registration import (
@@ -25,6 +26,10 @@
 )
 
 
+async def _do_nothing():
+    """Replicate nothing."""
+
+
 @pytest.fixture(name='started')
 def _started():
     """Return a registration of a node that has just started.
@@ -33,7 +38,13 @@
     """
     cfg = create_settings('n0', 'a')
     registry = create_registry(create_membership(cfg, 0))
-    registration = TargetRegistration(cfg, registry, lambda notice: None)
+    registration = TargetRegistration(
+        cfg,
+        registry,
+        lambda notice: None,
+        Withdrawals(cfg.domain, cfg.name),
+        _do_nothing,
+    )
     return registration, lambda: [
         target.phase for target in registry.local_targets()
     ]
--- a/medlarhoist/platform/instances.py
+++ b/medlarhoist/platform/instances.py
@@ -38,18 +38,22 @@
         heartbeat = HEARTBEAT_PATH.fullmatch(request.path)
         leave = LEAVE_PATH.fullmatch(request.path)
         if request.method == 'POST' and heartbeat is not None:
-            return self._handle_heartbeat(heartbeat.group(1), request.body)
+            return await self._handle_heartbeat(
+                heartbeat.group(1), request.body
+            )
         if request.method == 'POST' and leave is not None:
-            self._registration.remove(leave.group(1), read_leave(request.body))
+            await self._registration.accept_leave(
+                leave.group(1), read_leave(request.body)
+            )
             return WebResponse(body=b'{}')
         return WebResponse(status=404, body=b'{}')
 
-    def _handle_heartbeat(self, run_id: str, body: bytes) -> WebResponse:
+    async def _handle_heartbeat(self, run_id: str, body: bytes) -> WebResponse:
         read = read_heartbeat(run_id, body)
         if isinstance(read, Err):
             logger.warning('target: refused: {}', read.err_value)
             return WebResponse(status=400, body=b'{}')
-        self._registration.receive(read.ok_value)
+        await self._registration.accept(read.ok_value)
         return WebResponse(body=b'{}')
 
 
--- a/medlarhoist/wire/message.py
+++ b/medlarhoist/wire/message.py
@@ -16,6 +16,7 @@
 from medlarhoist.core.resource import Fault
 from medlarhoist.core.snapshot import Snapshot
 from medlarhoist.core.summary import Summary, SummaryMark
+from medlarhoist.core.withdrawal import Withdrawal
 
 
 class Hello(Struct, frozen=True, kw_only=True, tag='hello'):
@@ -248,12 +249,24 @@
         members: all records that the sender holds; empty in the first request
             and in a reply with the same digest.
         suspicions: requests that are suspected to crash targets.
+        withdrawals: runs of targets of the domain that drain or have left.
     """
 
     domain: str
     digest: str
     members: tuple[Member, ...] = ()
     suspicions: tuple[Suspicion, ...] = ()
+    withdrawals: tuple[Withdrawal, ...] = ()
+
+
+class Withdraw(Struct, frozen=True, kw_only=True, tag='withdraw'):
+    """Asks a node to hold withdrawals; the reply, without any, confirms it.
+
+    Args:
+        withdrawals: runs of targets that drain or have left.
+    """
+
+    withdrawals: tuple[Withdrawal, ...] = ()
 
 
 class Exchange(Struct, frozen=True, kw_only=True, tag='exchange'):
@@ -269,6 +282,9 @@
         summary: summary of the sender's domain, None where the receiver has
             it or it has not been asked for.
         suspicions: requests that are suspected to crash targets.
+        withdrawals_digest: digest of the withdrawals that the sender holds of
+            the domain that sends the query.
+        withdrawals: withdrawals of that domain, where the digests differ.
     """
 
     domain: str
@@ -276,6 +292,8 @@
     known: SummaryMark
     summary: Summary | None = None
     suspicions: tuple[Suspicion, ...] = ()
+    withdrawals_digest: str = ''
+    withdrawals: tuple[Withdrawal, ...] = ()
 
 
 # From child to parent.
--- a/medlarhoist/wire/procedures.py
+++ b/medlarhoist/wire/procedures.py
@@ -16,6 +16,7 @@
     Stage,
     Sync,
     UpMessage,
+    Withdraw,
 )
 from medlarhoist.wire.rpc import Method
 
@@ -56,3 +57,9 @@
     request=Exchange,
     reply=Exchange,
 )
+# Lets a node hold withdrawals, before they are acknowledged to a target.
+WITHDRAW: Final = Method(
+    path='/medlarhoist.Distribution/Withdraw',
+    request=Withdraw,
+    reply=Withdraw,
+)
