Bound the numbers in tokens and headers between processes

A token whose stamp has 5,000 digits, or a digit that is not ASCII, raised an exception before its key was checked: anyone who reaches a listener could send it. A limit such as 1_0, or one of hundreds of digits, was taken for a number. Names whose pattern ended with $ could end with a line break.

--- a/medlarhoist/core/api_messages.py
+++ b/medlarhoist/core/api_messages.py
@@ -17,7 +17,7 @@
 CHANGES_LIMIT: Final = 1000
 REVISION_LIMIT: Final = 2**62
 
-RequestId = Annotated[str, Meta(pattern='^[A-Za-z0-9._-]{8,64}$')]
+RequestId = Annotated[str, Meta(pattern=r'^[A-Za-z0-9._-]{8,64}\Z')]
 Changes = Annotated[
     tuple[Change, ...],
     Meta(min_length=1, max_length=CHANGES_LIMIT),
--- a/medlarhoist/core/condition.py
+++ b/medlarhoist/core/condition.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Callable, Sequence
-from math import isfinite
 from typing import Final
 from urllib.parse import quote, unquote
 
@@ -15,6 +14,7 @@
 
 from medlarhoist.core.header_names import HeaderNames, is_flagged
 from medlarhoist.core.headers import Header, find_header
+from medlarhoist.core.load_headers import parse_decimal
 
 # A target names the end of its limit only in responses, so it gets a request
 # now and then, whatever its limit is.
@@ -122,7 +122,7 @@
         run_key: key of the run that sent the response.
         headers: headers of the response.
     """
-    rate = _parse_rate(find_header(headers, names.rate_limit))
+    rate = parse_decimal(find_header(headers, names.rate_limit))
     return Condition(
         run_key,
         0 if rate is None else max(MIN_RATE, rate),
@@ -139,17 +139,8 @@
 def parse_condition(value: bytes | None) -> Condition | None:
     """Return the condition that a node sent, None without a valid one."""
     words = (value or b'').split(b' ')
-    rate = _parse_rate(words[0])
+    rate = parse_decimal(words[0])
     if len(words) != _FIELDS or rate is None:
         return None
     run_key = unquote(words[2].decode('latin-1'))
     return Condition(run_key, rate, words[1] == b'1')
-
-
-def _parse_rate(value: bytes | None) -> float | None:
-    """Return requests per second, None if missing or no such number."""
-    try:
-        rate = float(value or b'')
-    except ValueError:
-        return None
-    return rate if isfinite(rate) and rate >= 0 else None
--- a/medlarhoist/core/fingerprint.py
+++ b/medlarhoist/core/fingerprint.py
@@ -18,7 +18,7 @@
 _LENGTH_OCTETS: Final = 4
 _NAMED_HEADERS: Final = (b'host', b'authorization')
 
-Fingerprint = Annotated[str, Meta(pattern='^[0-9a-f]{24}$')]
+Fingerprint = Annotated[str, Meta(pattern=r'^[0-9a-f]{24}\Z')]
 
 
 def make_fingerprint_key(shared_key: str) -> bytes:
--- a/medlarhoist/core/load_headers.py
+++ b/medlarhoist/core/load_headers.py
@@ -4,6 +4,7 @@
 that cannot be parsed is treated as missing.
 """
 
+import re
 from typing import Final
 
 from msgspec.structs import replace
@@ -15,6 +16,8 @@
 _LOAD_FIELDS: Final = 4
 _LIMITED_LOAD_FIELDS: Final = 6
 _MILLI: Final = 1000
+# float() also reads infinities, other digits and underscores.
+_DECIMAL: Final = re.compile(rb'[0-9]{1,9}([.][0-9]{0,40})?')
 _MAX_DIGITS: Final = 9
 
 
@@ -102,6 +105,17 @@
     )
 
 
+def parse_decimal(value: bytes | None) -> float | None:
+    """Return the decimal number of a header, None if missing or malformed.
+
+    Args:
+        value: trimmed value of the header; a number below a billion.
+    """
+    if value is None or not _DECIMAL.fullmatch(value):
+        return None
+    return float(value)
+
+
 def _parse_numbers(value: bytes | None, count: int) -> list[int] | None:
     words = (value or b'').split(b' ')
     if len(words) != count:
--- a/medlarhoist/node/proxy/remote.py
+++ b/medlarhoist/node/proxy/remote.py
@@ -31,7 +31,11 @@
     Header,
     find_header,
 )
-from medlarhoist.core.load_headers import format_requirements, parse_load
+from medlarhoist.core.load_headers import (
+    format_requirements,
+    parse_decimal,
+    parse_load,
+)
 from medlarhoist.core.quarantine import format_suspicion, parse_suspicion
 from medlarhoist.core.verdict import Verdict
 from medlarhoist.node.proxy.attempt import Failure, Request
@@ -221,15 +225,8 @@
         head.status,
         has_arrived=find_header(head.headers, ARRIVED_HEADER) is not None,
         load=parse_load(find_header(head.headers, LOAD_HEADER)),
-        return_s=_parse_seconds(find_header(head.headers, RETRY_AFTER_HEADER)),
+        return_s=parse_decimal(find_header(head.headers, RETRY_AFTER_HEADER))
+        or 0,
         condition=parse_condition(find_header(head.headers, CONDITION_HEADER)),
         suspicion=parse_suspicion(find_header(head.headers, SUSPICION_HEADER)),
     )
-
-
-def _parse_seconds(value: bytes | None) -> float:
-    """Return a number of seconds, zero if it is missing or malformed."""
-    try:
-        return float(value or 0)
-    except ValueError:
-        return 0
--- a/medlarhoist/parser/duration.py
+++ b/medlarhoist/parser/duration.py
@@ -8,7 +8,7 @@
 
 from medlarhoist.utils.clock import MILLISECONDS_PER_SECOND
 
-DURATION_PATTERN: Final = '^[0-9]{1,9}(ms|s|m|h)$'
+DURATION_PATTERN: Final = r'^[0-9]{1,9}(ms|s|m|h)\Z'
 Duration = Annotated[str, Meta(pattern=DURATION_PATTERN)]
 
 _UNITS_MS: Final = {'ms': 1, 's': 1000, 'm': 60_000, 'h': 3_600_000}
--- a/medlarhoist/wire/auth.py
+++ b/medlarhoist/wire/auth.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 METADATA_KEY: Final = 'x-medlarhoist-token'
+MAX_STAMP_DIGITS: Final = 15
 TOKEN_LIFETIME_SECONDS: Final = 300
 _DIGEST_BYTES: Final = 16
 
@@ -46,7 +47,10 @@
     """
     claim, _, digest = token.rpartition(':')
     _, _, stamp = claim.rpartition(':')
-    if not stamp.isdigit() or abs(now - int(stamp)) > TOKEN_LIFETIME_SECONDS:
+    is_number = stamp.isascii() and stamp.isdigit()
+    if not is_number or len(stamp) > MAX_STAMP_DIGITS:
+        return False
+    if abs(now - int(stamp)) > TOKEN_LIFETIME_SECONDS:
         return False
     expected = sign(key, claim.encode()).hex()
     return hmac.compare_digest(expected.encode(), digest.encode())
--- a/medlarhoist/wire/auth_test.py
+++ b/medlarhoist/wire/auth_test.py
@@ -19,6 +19,8 @@
         (make_token(KEY, 'n1', 1000).replace('n1', 'n2'), 1000),
         ('', 1000),
         ('n1:1000:\u00e9', 1000),
+        ('n1:\u00b2:aa', 1000),
+        (f'n1:{"1" * 5000}:aa', 1000),
     ],
 )
 def test_wrong_or_expired_token_is_invalid(token, now):
