Refuse notices that the target cannot have sent

One odd heartbeat, with a start or sequence of 1 and 30 zeros, was confirmed and outdated every later one of the sound instance, which got no request any more. A host that is not beside the node was announced; an odd port was answered 500. Nothing bounded the fields or compared them with what the node knows.

Each field is bounded now, and a notice or leave is compared with the settings, the time and the sequence so far (core/notice_check.py). What fails is answered 400 with one log line that names the field, and changes nothing. A run that goes on while a newer one is silent gets its place back. The node's settings have the address of its target.

--- a/medlarhoist/core/presence.py
+++ b/medlarhoist/core/presence.py
@@ -8,6 +8,8 @@
 from medlarhoist.core.target import Target, TargetNotice, TargetPhase
 
 MISSED_HEARTBEATS: Final = 3
+# Longer than a target in operation pauses between two heartbeats.
+SILENT_HEARTBEATS: Final = 1.5
 _MS_PER_SECOND: Final = 1000
 
 
@@ -23,6 +25,8 @@
             since 1970.
         last: the newest notice, also of a target that was removed.
         has_left: whether the run of `last` has announced that it leaves.
+        rival: the latest of the notices that were outdated by `last` since it
+            was received, None for none.
     """
 
     notice: TargetNotice | None = None
@@ -30,6 +34,7 @@
     since_ms: int = 0
     last: TargetNotice | None = None
     has_left: bool = False
+    rival: TargetNotice | None = None
 
 
 def receive_notice(
@@ -72,6 +77,35 @@
     return notice.run_id == newest.run_id and notice.sequence < newest.sequence
 
 
+def is_superseded(
+    presence: Presence,
+    notice: TargetNotice,
+    now_seconds: float,
+    heartbeat_ms: int,
+) -> bool:
+    """Return whether an outdated notice shows that `last` was none of a target.
+
+    One process at a time listens on the address of a target. The run that goes
+    on sending notices, each with a higher sequence, is the one that does if
+    that of `last` is silent meanwhile. A run that has left stays outdated.
+
+    Args:
+        presence: the presence of the target.
+        notice: a notice for which `is_outdated` is true.
+        now_seconds: monotonic time.
+        heartbeat_ms: heartbeat interval of the target, milliseconds.
+    """
+    newest, rival = presence.last, presence.rival
+    if newest is None or rival is None:
+        return False
+    if presence.has_left and _run_key(newest) in {None, _run_key(notice)}:
+        return False
+    silent_seconds = now_seconds - presence.heard_seconds
+    limit_seconds = heartbeat_ms * SILENT_HEARTBEATS / _MS_PER_SECOND
+    is_next = is_same_run(rival, notice) and rival.sequence < notice.sequence
+    return is_next and silent_seconds >= limit_seconds
+
+
 def is_leave_outdated(presence: Presence, run_id: str, born_ms: int) -> bool:
     """Return whether a leave is that of another run than the current one.
 
@@ -103,6 +137,7 @@
         since_ms=presence.since_ms,
         last=presence.last,
         has_left=has_left,
+        rival=presence.rival,
     )
 
 
@@ -163,6 +198,18 @@
     )
 
 
+def begins_to_drain(presence: Presence, notice: TargetNotice) -> bool:
+    """Return whether a notice is the first by which a run drains."""
+    before = presence.notice
+    if notice.phase is not TargetPhase.DRAINING:
+        return False
+    return (
+        before is None
+        or before.phase is not TargetPhase.DRAINING
+        or not is_same_run(before, notice)
+    )
+
+
 def is_same_run(old: TargetNotice, new: TargetNotice) -> bool:
     """Return whether two notices are of the same run of a target."""
     return _identity(old) == _identity(new)
--- a/medlarhoist/core/settings.py
+++ b/medlarhoist/core/settings.py
@@ -11,20 +11,20 @@
 Address = Annotated[
     str,
     Meta(
-        pattern=r'^[0-9.]+:[0-9]{1,5}$',
+        pattern=r'^[0-9.]+:[0-9]{1,5}\Z',
         description='address like `10.0.0.1:7000`',
     ),
 ]
 Name = Annotated[
     str,
     Meta(
-        pattern='^[a-z0-9][a-z0-9.-]{0,62}$',
+        pattern=r'^[a-z0-9][a-z0-9.-]{0,62}\Z',
         description='name: lower-case letters, digits, dots and dashes',
     ),
 ]
 Sha256 = Annotated[
     str,
-    Meta(pattern='^[0-9a-f]{64}$', description='64 hexadecimal digits'),
+    Meta(pattern=r'^[0-9a-f]{64}\Z', description='64 hexadecimal digits'),
 ]
 Level = Literal['DEBUG', 'INFO', 'WARNING', 'ERROR']
 
@@ -144,7 +144,10 @@
         peer: address that other nodes forward calls to (HTTP).
         seeds: gossip addresses of a few nodes of the same failure domain.
         service: service whose target runs on the same VM, empty if unknown;
-            requests that enter at this node are marked with it.
+            requests that enter at this node are marked with it, and notices
+            of another service are refused.
+        target: address that the target on the same VM listens on; notices of
+            another address are refused. Empty if unknown.
         heartbeat_ms: heartbeat interval of the target, milliseconds.
         grace_ms: time from SIGTERM until the process is killed, milliseconds;
             requests that are in progress shortly before are ended.
@@ -163,6 +166,7 @@
     peer: Address
     seeds: tuple[Address, ...] = ()
     service: str = ''
+    target: Address | Literal[''] = ''
     heartbeat_ms: Annotated[int, Meta(ge=100, le=60_000)] = 1000
     grace_ms: Annotated[int, Meta(ge=3000, le=600_000)] = 60_000
     quarantine: bool = True
--- a/medlarhoist/core/target.py
+++ b/medlarhoist/core/target.py
@@ -15,7 +15,12 @@
 MAX_MILLISECONDS: Final = 2**48
 MAX_SEQUENCE: Final = 2**53
 LOOPBACK: Final = '127.0.0.1'
-ServiceName = Annotated[str, Meta(pattern='^[a-z0-9][a-z0-9.-]{0,62}$')]
+ServiceName = Annotated[str, Meta(pattern=r'^[a-z0-9][a-z0-9.-]{0,62}\Z')]
+
+
+# It goes into a header of requests to the target.
+RunId = Annotated[str, Meta(pattern=r'^[A-Za-z0-9._~:%+@=-]{0,128}\Z')]
+Host = Annotated[str, Meta(pattern=r'^[0-9]{1,3}([.][0-9]{1,3}){3}\Z')]
 
 
 class TargetPhase(StrEnum):
@@ -76,13 +81,13 @@
 
     service: ServiceName
     label: ServiceName
-    host: str = LOOPBACK
+    host: Host = LOOPBACK
     port: Annotated[int, Meta(ge=1, le=MAX_PORT)]
     slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
     phase: TargetPhase
-    run_id: str = ''
-    born_ms: int = 0
-    sequence: int = 0
+    run_id: RunId = ''
+    born_ms: Annotated[int, Meta(ge=0, le=MAX_MILLISECONDS)] = 0
+    sequence: Annotated[int, Meta(ge=0, le=MAX_SEQUENCE)] = 0
 
     @property
     def address(self) -> str:
--- a/medlarhoist/node/app.py
+++ b/medlarhoist/node/app.py
@@ -105,8 +105,10 @@
     def apply_settings(self, cfg: NodeSettings) -> None:
         """Apply settings that were read again; called by the reloader.
 
-        Only the control addresses of the sources change while a node runs.
+        The control addresses of the sources change while a node runs, and
+        what is beside it.
         """
+        self.target_registration.apply_settings(cfg)
         addresses = [source.control for source in cfg.sources]
         self._distribution.directory.add_sources(addresses)
 
--- a/medlarhoist/node/target_registration.py
+++ b/medlarhoist/node/target_registration.py
@@ -9,19 +9,23 @@
 from typing import Final
 
 from loguru import logger
+from msgspec.structs import replace
 
+from medlarhoist.core.notice_check import find_leave_fault, find_notice_fault
 from medlarhoist.core.presence import (
     Presence,
     advertised_target,
+    begins_to_drain,
     has_expired,
     is_leave_outdated,
     is_outdated,
     is_same_run,
+    is_superseded,
     receive_notice,
     remove_target,
 )
 from medlarhoist.core.settings import NodeSettings
-from medlarhoist.core.target import TargetNotice, TargetPhase
+from medlarhoist.core.target import TargetNotice
 from medlarhoist.core.withdrawal import Withdrawals
 from medlarhoist.node.registry import TargetRegistry
 from medlarhoist.utils.clock import monotonic_seconds, wall_ms
@@ -118,30 +122,59 @@
             )
             self._remove_target('it states that it leaves', has_left=True)
 
-    async def accept(self, notice: TargetNotice) -> None:
+    def apply_settings(self, cfg: NodeSettings) -> None:
+        """Compare notices with these settings from now on."""
+        self._cfg = cfg
+
+    async def accept(self, notice: TargetNotice) -> str:
         """Apply a notice, and return once its acknowledgement is safe.
 
         The node may restart after it has acknowledged that the target drains,
         so that other nodes must know it as well.
+
+        Returns:
+            Why the notice is refused, naming the field; empty if it is not.
         """
-        begins_to_drain = self._begins_to_drain(notice)
-        self.receive(notice)
-        if begins_to_drain:
+        drains = begins_to_drain(self.presence, notice)
+        fault = self.receive(notice)
+        if drains and not fault:
             await self._replicate()
+        return fault
 
-    async def accept_leave(self, run_id: str, born_ms: int) -> None:
+    async def accept_leave(self, run_id: str, born_ms: int) -> str:
         """Remove the target, and return once its acknowledgement is safe.
 
         See `remove`.
+
+        Returns:
+            Why the leave is refused, naming the field; empty if it is not.
         """
-        self.remove(run_id, born_ms)
-        await self._replicate()
+        fault = find_leave_fault(run_id, born_ms, wall_ms())
+        if not fault:
+            self.remove(run_id, born_ms)
+            await self._replicate()
+        return fault
+
+    def receive(self, notice: TargetNotice) -> str:
+        """Apply a notice of the target; an outdated one is ignored.
 
-    def receive(self, notice: TargetNotice) -> None:
-        """Apply a notice of the target; an outdated one is ignored."""
+        Returns:
+            Why the notice is refused, naming the field; empty if it is not.
+        """
         now = monotonic_seconds()
-        is_late = self._withdrawals.find(notice, now) is not None
-        if is_late or is_outdated(self.presence, notice):
+        fault = find_notice_fault(
+            self._cfg, self.presence, notice, now, wall_ms()
+        )
+        if not fault:
+            self._apply(notice, now)
+        return fault
+
+    def _apply(self, notice: TargetNotice, now: float) -> None:
+        is_late = is_outdated(self.presence, notice) and not is_superseded(
+            self.presence, notice, now, self._cfg.heartbeat_ms
+        )
+        if is_late or self._withdrawals.find(notice, now) is not None:
+            self.presence = replace(self.presence, rival=notice)
             logger.bind(run=notice.run_id, sequence=notice.sequence).info(
                 'target: outdated notice ignored',
             )
@@ -151,7 +184,7 @@
             _log_notice(notice, 'target: new run')
         elif previous.phase is not notice.phase:
             _log_notice(notice, 'target: phase changed')
-        if self._begins_to_drain(notice):
+        if begins_to_drain(self.presence, notice):
             self._withdrawals.record(
                 notice.run_id, notice.born_ms, now, notice.sequence
             )
@@ -188,16 +221,6 @@
             return
         self._remove_target('it has left', has_left=True)
 
-    def _begins_to_drain(self, notice: TargetNotice) -> bool:
-        before = self.presence.notice
-        if notice.phase is not TargetPhase.DRAINING:
-            return False
-        return (
-            before is None
-            or before.phase is not TargetPhase.DRAINING
-            or not is_same_run(before, notice)
-        )
-
     def _remove_target(self, reason: str, *, has_left: bool) -> None:
         notice = self.presence.notice
         if notice is None:
--- a/medlarhoist/platform/announcement.py
+++ b/medlarhoist/platform/announcement.py
@@ -1,52 +1,83 @@
-"""Decodes heartbeats and leaves of instances into notices of targets."""
+"""Decodes heartbeats and leaves of instances into notices of targets.
 
-from msgspec import Struct, ValidationError, convert, field, json
+Another writer may send them, with fields missing or of another type, or bytes
+that can't be read. Each field of the page is required, so that one that an
+instance has not sent as the page says names no instance to use. What a node
+knows of its instance is compared in core.notice_check.
+"""
+
+from typing import Annotated, Any
+
+from msgspec import Meta, Struct, ValidationError, convert, field, json
 from result import Err, Ok, Result
 
-from medlarhoist.core.target import TargetNotice
+from medlarhoist.core.notice_check import show
+from medlarhoist.core.target import MAX_MILLISECONDS, TargetNotice
 from medlarhoist.platform.names import TARGET_PHASES
 from medlarhoist.utils.web import JSON_ERRORS
 
+MAX_COLD_S = 1_000_000_000
+
 
 class _Heartbeat(Struct, kw_only=True):
-    """The fields of a heartbeat's body that the node uses."""
+    """The fields of a heartbeat's body.
+
+    `cold_remaining_s` is required, but not used.
+    """
 
     service: str
     address: str
+    domain: str = field(name='zone')
     label: str = field(name='version')
     slots: int
     phase: str = field(name='state')
+    cold_s: Annotated[float, Meta(ge=0, le=MAX_COLD_S)] = field(
+        name='cold_remaining_s'
+    )
     sequence: int
     born_ms: int = field(name='born', default=0)
 
 
 class _Leave(Struct, kw_only=True):
-    """The body of a leave; every field is optional."""
+    """The body of a leave; the field is optional."""
 
-    born_ms: int = field(name='born', default=0)
+    born_ms: Annotated[int, Meta(ge=0, le=MAX_MILLISECONDS)] = field(
+        name='born', default=0
+    )
 
 
-def read_heartbeat(run_id: str, body: bytes) -> Result[TargetNotice, str]:
+def read_heartbeat(
+    run_id: str,
+    body: bytes,
+    domain: str = '',
+) -> Result[TargetNotice, str]:
     """Decode a heartbeat.
 
     Args:
         run_id: id of this run of the instance (one lifetime of its process),
             from the path.
         body: JSON.
+        domain: failure domain of this node, which the heartbeat has to name;
+            empty for any.
 
     Returns:
-        The notice, or a message that names the invalid field.
+        The notice, or a message of bounded length that names the invalid
+        field.
     """
-    try:
-        heartbeat = json.decode(body, type=_Heartbeat)
-    except JSON_ERRORS as exc:
-        return Err(f'heartbeat: {exc}')
+    decoded = _decode(body, _Heartbeat)
+    if isinstance(decoded, Err):
+        return Err(f'heartbeat: {decoded.err_value}')
+    heartbeat = decoded.ok_value
     phase = TARGET_PHASES.get(heartbeat.phase)
     if phase is None:
-        return Err(f'heartbeat: unknown state {heartbeat.phase!r}')
+        return Err(f'heartbeat: state: {show(heartbeat.phase)} is unknown')
+    if domain and heartbeat.domain != domain:
+        return Err(f'heartbeat: zone: {show(heartbeat.domain)} is another one')
     host, _, port = heartbeat.address.rpartition(':')
-    if not host or not port.isdigit():
-        return Err(f'heartbeat: {heartbeat.address!r} is not host:port')
+    if not port.isascii() or not port.isdigit() or len(port) > len('65535'):
+        return Err(
+            f'heartbeat: address: {show(heartbeat.address)} is not host:port'
+        )
     fields = {
         'service': heartbeat.service,
         'label': heartbeat.label,
@@ -64,13 +95,32 @@
         return Err(f'heartbeat: {exc}')
 
 
-def read_leave(body: bytes) -> int:
+def read_leave(body: bytes) -> Result[int, str]:
     """Return when the leaving run started, milliseconds since 1970.
 
-    Zero if unknown. The path of a leave names the run, so a leave is valid
-    even if its body cannot be decoded.
+    Zero if unknown, as with an empty body. The path of a leave names the run.
+    A body that can't be read is another writer's, whose leave must not end
+    the work of an instance.
+
+    Returns:
+        The start, or a message of bounded length that names the invalid
+        field.
     """
+    if not body:
+        return Ok(0)
+    decoded = _decode(body, _Leave)
+    if isinstance(decoded, Err):
+        return Err(f'leave: {decoded.err_value}')
+    return Ok(decoded.ok_value.born_ms)
+
+
+def _decode(body: bytes, kind: type[Any]) -> Result[Any, str]:
+    """Decode JSON; fields that are not used have to be readable, too."""
+    try:
+        text = body.decode()
+    except UnicodeDecodeError:
+        return Err('body: not UTF-8')
     try:
-        return json.decode(body, type=_Leave).born_ms
-    except JSON_ERRORS:
-        return 0
+        return Ok(json.decode(text, type=kind))
+    except JSON_ERRORS as exc:
+        return Err(f'body: {exc}')
--- a/medlarhoist/platform/instances.py
+++ b/medlarhoist/platform/instances.py
@@ -22,18 +22,24 @@
 class InstanceApi:
     """HTTP API of a node for the heartbeats and leaves of its instance."""
 
-    __slots__ = ('_registration',)
+    __slots__ = ('_domain', '_registration')
 
-    def __init__(self, registration: TargetRegistration) -> None:
-        """Pass heartbeats and leaves to the registration of the target."""
+    def __init__(self, registration: TargetRegistration, domain: str) -> None:
+        """Pass heartbeats and leaves to the registration of the target.
+
+        Args:
+            registration: tracks the target beside the node.
+            domain: failure domain of the node.
+        """
+        self._domain = domain
         self._registration = registration
 
     async def respond(self, request: WebRequest) -> WebResponse:
         """Handle a heartbeat or a leave.
 
         Returns:
-            Status 200, 400 for an invalid heartbeat, 404 for any other
-            request.
+            Status 200, 400 for a heartbeat or leave that the instance can't
+            have sent, 404 for any other request.
         """
         heartbeat = HEARTBEAT_PATH.fullmatch(request.path)
         leave = LEAVE_PATH.fullmatch(request.path)
@@ -42,19 +48,22 @@
                 heartbeat.group(1), request.body
             )
         if request.method == 'POST' and leave is not None:
-            await self._registration.accept_leave(
-                leave.group(1), read_leave(request.body)
-            )
-            return WebResponse(body=b'{}')
+            return await self._handle_leave(leave.group(1), request.body)
         return WebResponse(status=404, body=b'{}')
 
     async def _handle_heartbeat(self, run_id: str, body: bytes) -> WebResponse:
-        read = read_heartbeat(run_id, body)
+        read = read_heartbeat(run_id, body, self._domain)
+        if isinstance(read, Err):
+            return _refuse(read.err_value)
+        return _respond(await self._registration.accept(read.ok_value))
+
+    async def _handle_leave(self, run_id: str, body: bytes) -> WebResponse:
+        read = read_leave(body)
         if isinstance(read, Err):
-            logger.warning('target: refused: {}', read.err_value)
-            return WebResponse(status=400, body=b'{}')
-        await self._registration.accept(read.ok_value)
-        return WebResponse(body=b'{}')
+            return _refuse(read.err_value)
+        return _respond(
+            await self._registration.accept_leave(run_id, read.ok_value)
+        )
 
 
 class ReadinessApi:
@@ -90,7 +99,7 @@
     Raises:
         OSError: an address cannot be bound.
     """
-    instances = InstanceApi(app.target_registration)
+    instances = InstanceApi(app.target_registration, deployment.process.domain)
     readiness = ReadinessApi(app)
     return (
         create_site(host, CHANNEL, deployment.control, instances.respond),
@@ -98,3 +107,12 @@
             host, READY_CHANNEL, deployment.readiness, readiness.respond
         ),
     )
+
+
+def _respond(fault: str) -> WebResponse:
+    return _refuse(fault) if fault else WebResponse(body=b'{}')
+
+
+def _refuse(fault: str) -> WebResponse:
+    logger.warning('target: refused: {}', fault)
+    return WebResponse(status=400, body=b'{}')
--- a/medlarhoist/platform/settings.py
+++ b/medlarhoist/platform/settings.py
@@ -40,6 +40,7 @@
     is_first_start: bool = field(name='bootstrap', default=False)
     data_folder: str | None = field(name='data_dir', default=None)
     service: str = ''
+    target: str = field(name='app_addr', default='')
 
 
 class _Listen(Struct, kw_only=True):
@@ -200,6 +201,7 @@
         entry=listen.outbound,
         peer=listen.inbound,
         service=process.service,
+        target=process.target,
         heartbeat_ms=int(settings.platform.heartbeat_s * _MS_PER_SECOND),
         grace_ms=int(settings.terms.bounds.grace_s * _MS_PER_SECOND),
         logs=Logs(json=True),
--- a/medlarhoist/utils/admin.py
+++ b/medlarhoist/utils/admin.py
@@ -25,7 +25,7 @@
 CHANNEL: Final = 'admin'
 
 Dump = Callable[[], Any]
-OnTargetNotice = Callable[[TargetNotice], None]
+OnTargetNotice = Callable[[TargetNotice], str | None]
 OnTargetRemoved = Callable[[], None]
 Release = Callable[[str], bool]
 QUARANTINE_PATH: Final = '/quarantine/'
@@ -94,8 +94,8 @@
             notice = json.decode(request.body, type=TargetNotice)
         except JSON_ERRORS as exc:
             return _refuse(400, f'body: {exc}')
-        self._on_target_notice(notice)
-        return WebResponse(body=b'{}')
+        fault = self._on_target_notice(notice)
+        return _refuse(400, fault) if fault else WebResponse(body=b'{}')
 
 
 def create_admin(
@@ -115,7 +115,8 @@
         dump: returns the state of the process as records or built-in types;
             called for each GET /dump.
         on_target_notice: called with each notice that the target of this node
-            sends; None on a source, which has no target.
+            sends; returns why it is refused, if it is. None on a source, which
+            has no target.
         on_target_removed: called when the target deregisters.
         metrics: rendered for GET /metrics; None serves no metrics.
         release: called with the fingerprint of a request that an operator
