Let a data folder found a group once

A source whose member slot had been reassigned wiped its folder, and was the founder of a group again in the same process: without an identity, and with the right to found still set from its first start, it took part under a name that belonged to another, with an empty log. Three of them probed one another, found only empty logs, and founded a second group with nothing in it.

The identity says whether it may found, a retired folder keeps its former identity under another name (renamed, so that a full disk does not prevent it), and an interrupted wipe is completed at the next start. A replica that may not found answers probes so, and does not found.

--- a/medlarhoist/consensus/bootstrap.py
+++ b/medlarhoist/consensus/bootstrap.py
@@ -1,8 +1,8 @@
 """Bootstrap: how replicas with empty data folders form a new group.
 
 A data folder is empty in a new group, or because the earlier one was lost.
-The group is new only if every peer reports that its log has never held an
-entry. The replica then becomes an initial member, in a term after any in which
+The group is new only if every peer may found it as well and reports that its
+log has never held an entry. The replica then becomes an initial member, in a term after any in which
 its name may have voted. Otherwise it stays a learner until a leader admits it.
 """
 
@@ -21,8 +21,9 @@
 
 
 def is_uninitialized(replica: Replica) -> bool:
-    """Return whether a replica has an empty log and is no initial member."""
-    return replica.incarnation != INITIAL_INCARNATION and has_empty_log(replica)
+    """Return whether a replica may still become an initial member."""
+    is_initial = replica.incarnation == INITIAL_INCARNATION
+    return replica.may_found and not is_initial and has_empty_log(replica)
 
 
 def tick_uninitialized(
@@ -49,12 +50,16 @@
 
 
 def receive_probe(replica: Replica, req: Probe) -> HandlerResult:
-    """Reply whether the log of this replica has ever held an entry."""
+    """Reply whether this replica may found a group with the sender.
+
+    One that may not knows that there was a group, or that others have its
+    slot.
+    """
     reply = ProbeReply(
         sender=replica.name,
         receiver=req.sender,
         incarnation=req.incarnation,
-        pristine=has_empty_log(replica),
+        pristine=replica.may_found and has_empty_log(replica),
         term=replica.term,
     )
     return replica, (reply,)
--- a/medlarhoist/consensus/replica.py
+++ b/medlarhoist/consensus/replica.py
@@ -100,6 +100,9 @@
         start_index: index of the entry that started its term as leader.
         probes: terms of the peers that have replied to a probe that their
             logs are empty, by name.
+        may_found: whether it may become an initial member while all logs are
+            empty; not once its data folder has had another member slot, or
+            where its slot belonged to another source before.
     """
 
     name: str
@@ -124,6 +127,7 @@
     elected_at: float = 0
     start_index: int = 0
     probes: dict[str, int] = field(default_factory=dict)
+    may_found: bool = True
 
 
 def create_replica(
--- a/medlarhoist/core/settings.py
+++ b/medlarhoist/core/settings.py
@@ -90,7 +90,7 @@
             that is, none of `sources`.
         may_found: whether a source with an empty data folder may bootstrap a
             new group; if not, it waits until a leader assigns it a member
-            slot.
+            slot. A source whose slot was reassigned never may.
         data_folder: folder on a disk for the log and the snapshots.
         operators: operators that may write.
         keepers: number of keepers (voting members of the quorum) that each
--- a/medlarhoist/source/identity.py
+++ b/medlarhoist/source/identity.py
@@ -3,6 +3,10 @@
 It is written before the source takes part in the group and never changes; a
 folder without an identity is unassigned. It holds the endpoints that the
 group had at that time; later endpoints are in the replicated log.
+
+Founding a group is a right that a data folder has once. A source whose member
+slot was reassigned keeps the name of its former identity, so that its emptied
+folder can be told from a new one: it may ask for a slot only.
 """
 
 import os
@@ -12,12 +16,13 @@
 from result import Err, Ok, Result
 
 from medlarhoist.core.resource import Fault
-from medlarhoist.core.settings import Peer
+from medlarhoist.core.settings import Peer, SourceSettings
 
 FILE_NAME: Final = 'identity'
+RETIRED_NAME: Final = 'retired'
 # A crash between two removals must leave a folder that can still be read: the
-# log goes before the snapshot that it continues, and the identity goes last.
-_WIPE_ORDER: Final = {'snapshot': 1, 'hard': 2, FILE_NAME: 3}
+# log goes before the snapshot that it continues.
+_WIPE_ORDER: Final = {'snapshot': 1, 'hard': 2}
 
 
 class Identity(Struct, frozen=True, kw_only=True):
@@ -26,10 +31,13 @@
     Args:
         name: its member slot in the group.
         sources: endpoints of all members of the group, its own included.
+        may_found: whether it is an initial member, which may found the group
+            while all logs are empty.
     """
 
     name: str
     sources: tuple[Peer, ...]
+    may_found: bool = False
 
 
 def read_identity(folder: str) -> Result[Identity | None, Fault]:
@@ -62,13 +70,46 @@
     _sync_folder(folder)
 
 
-def wipe_folder(folder: str) -> None:
-    """Remove all files of a data folder, its identity last.
+def find_identity(cfg: SourceSettings) -> Result[Identity | None, Fault]:
+    """Return the identity of a source, None for a standby.
+
+    The first start of an initial member writes its identity. A wipe that was
+    interrupted is completed first.
+
+    Raises:
+        OSError: the identity cannot be written, or the folder not wiped.
+    """
+    folder = cfg.data_folder
+    read = read_identity(folder)
+    if isinstance(read, Err) or read.ok_value is not None:
+        return read
+    if os.path.exists(os.path.join(folder, RETIRED_NAME)):
+        _remove_files(folder)
+        return Ok(None)
+    if cfg.spare is not None or not cfg.may_found:
+        return Ok(None)
+    founder = Identity(name=cfg.name, sources=cfg.sources, may_found=True)
+    write_identity(folder, founder)
+    return Ok(founder)
+
+
+def retire_folder(folder: str) -> None:
+    """Wipe a data folder whose member slot was reassigned.
+
+    Its identity is renamed first, which needs no space on the disk.
 
     Raises:
-        OSError: a file cannot be removed.
+        OSError: a file cannot be renamed or removed; find_identity completes
+            the wipe.
     """
-    names = os.listdir(folder)
+    path = os.path.join(folder, FILE_NAME)
+    os.replace(path, os.path.join(folder, RETIRED_NAME))
+    _sync_folder(folder)
+    _remove_files(folder)
+
+
+def _remove_files(folder: str) -> None:
+    names = [name for name in os.listdir(folder) if name != RETIRED_NAME]
     names.sort(key=lambda name: _WIPE_ORDER.get(name, 0))
     for name in names:
         os.remove(os.path.join(folder, name))
--- a/medlarhoist/source/ledger_driver.py
+++ b/medlarhoist/source/ledger_driver.py
@@ -224,7 +224,11 @@
             time.monotonic(),
             random.random,
         )
-        return replace(replica, endpoint=endpoint_of(self._cfg.endpoint))
+        return replace(
+            replica,
+            endpoint=endpoint_of(self._cfg.endpoint),
+            may_found=self._cfg.may_found,
+        )
 
     async def _run(self) -> None:
         while self.replica is not None:
--- a/medlarhoist/source/serve.py
+++ b/medlarhoist/source/serve.py
@@ -17,8 +17,8 @@
 from medlarhoist.source.app import CreateSites, SourceApp
 from medlarhoist.source.identity import (
     Identity,
-    read_identity,
-    wipe_folder,
+    find_identity,
+    retire_folder,
     write_identity,
 )
 from medlarhoist.source.ledger_driver import StorageDamaged
@@ -104,7 +104,10 @@
     A member ends when the process shall stop, or when its slot was reassigned
     to another source; its data folder is then wiped.
     """
-    identity = _find_identity(cfg)
+    found = find_identity(cfg)
+    if isinstance(found, Err):
+        raise StorageDamaged(found.err_value)
+    identity = found.ok_value
     if identity is None:
         identity = await _serve_as_standby(
             cfg,
@@ -121,6 +124,7 @@
         name=identity.name,
         sources=identity.sources,
         spare=cfg.endpoint,
+        may_found=identity.may_found,
     )
     app = SourceApp(member_cfg)
     app.register(host)
@@ -130,28 +134,7 @@
         logger.warning(
             'source: its member slot was reassigned; wiping the data folder',
         )
-        wipe_folder(cfg.data_folder)
-
-
-def _find_identity(cfg: SourceSettings) -> Identity | None:
-    """Return the identity of this source, None for a standby.
-
-    The first start of an initial member writes its identity.
-
-    Raises:
-        StorageDamaged: the identity cannot be read.
-        OSError: the identity cannot be written.
-    """
-    read = read_identity(cfg.data_folder)
-    if isinstance(read, Err):
-        raise StorageDamaged(read.err_value)
-    if read.ok_value is not None or cfg.spare is not None:
-        return read.ok_value
-    if not cfg.may_found:
-        return None
-    initial_member = Identity(name=cfg.name, sources=cfg.sources)
-    write_identity(cfg.data_folder, initial_member)
-    return initial_member
+        retire_folder(cfg.data_folder)
 
 
 async def _serve_as_standby(
