Open a rewritten log again after the disk was full

Where the disk filled after the rename of a compacted log and before the new file was opened, the process went on appending to the file that had been replaced. What it acknowledged from then on was gone after a restart: a source could forget a configuration that an operator had been told of.

A write that fails leaves the log marked as torn. It is repaired at once where that works, and before the next write in any case: opened again if its name leads to another file, and cut to what was acknowledged.

log_file_test.py -k fills fills the disk at each of the calls of a write; one of 24 cases failed before, with two acknowledged entries missing after the restart. The check of a full disk for room comes with it.

--- a/medlarhoist/consensus/log_file.py
+++ b/medlarhoist/consensus/log_file.py
@@ -11,7 +11,7 @@
 import fcntl
 import os
 from collections.abc import Callable
-from contextlib import ExitStack
+from contextlib import ExitStack, suppress
 from typing import Any, Final
 
 from msgspec import Struct
@@ -31,6 +31,8 @@
     'one; the other sources send it the log and then admit it as a voter'
 )
 CHECKSUM_MISMATCH: Final = 'the bytes do not match their checksum'
+# Room for a few entries; a disk with less is as good as full.
+PROBE_BYTES: Final = 16_384
 DISK_FULL_ERRNOS: Final = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
 
 
@@ -60,7 +62,14 @@
 class LogFile:
     """An open, locked data folder."""
 
-    __slots__ = ('_disk', '_end', '_folder', '_lock_fd', '_log_fd')
+    __slots__ = (
+        '_disk',
+        '_end',
+        '_folder',
+        '_is_torn',
+        '_lock_fd',
+        '_log_fd',
+    )
 
     def __init__(self, folder: str, disk: Disk, lock_fd: int) -> None:
         """Keep a folder that open_folder has locked; load() opens the log."""
@@ -69,6 +78,9 @@
         self._lock_fd = lock_fd
         self._log_fd = -1
         self._end = 0
+        # Whether a write that failed may have left bytes in the log, or
+        # another log under its name.
+        self._is_torn = False
 
     def load(self) -> Result[StoredState, Fault]:
         """Read all files; truncate a write that a crash has cut short.
@@ -97,14 +109,18 @@
         Raises:
             OSError: the disk may have lost data; the process must stop.
         """
-        try:
-            self._save(write, log)
-        except OSError as exc:
-            if exc.errno not in DISK_FULL_ERRNOS:
-                raise
-            os.ftruncate(self._log_fd, self._end)
-            return Err(Fault(source=self._folder, message=str(exc)))
-        return Ok(None)
+        return self._try(lambda: self._save(write, log))
+
+    def probe(self) -> Result[None, Fault]:
+        """Check whether the disk takes writes again after it was full.
+
+        Returns:
+            Ok, or the fault where it is still full.
+
+        Raises:
+            OSError: the disk fails otherwise.
+        """
+        return self._try(lambda: write_probe(self._folder, self._disk))
 
     def close(self) -> None:
         """Close the files and release the lock."""
@@ -114,6 +130,31 @@
         self._log_fd = -1
         self._lock_fd = -1
 
+    def _try(self, store: Callable[[], None]) -> Result[None, Fault]:
+        try:  # noqa: WPS229  both fail alike
+            self._repair()
+            store()
+        except OSError as exc:
+            if exc.errno not in DISK_FULL_ERRNOS:
+                raise
+            self._is_torn = True
+            with suppress(OSError):
+                self._repair()
+            return Err(Fault(source=self._folder, message=str(exc)))
+        return Ok(None)
+
+    def _repair(self) -> None:
+        """Remove what a failed write has left in the log."""
+        if not self._is_torn:
+            return
+        found = os.stat(self._path('log'))
+        if found.st_ino != os.fstat(self._log_fd).st_ino:
+            # The log was rewritten, but not opened again.
+            os.close(self._log_fd)
+            self._open_log(found.st_size)
+        os.ftruncate(self._log_fd, self._end)
+        self._is_torn = False
+
     def _save(self, write: Write, log: Log) -> None:
         if write.hard is not None:
             self._replace('hard', make_frame(encode(write.hard)))
@@ -125,7 +166,7 @@
             self._open_log(len(body))
         elif write.entries:
             frame = make_frame(encode(write.entries))
-            self._write_all(self._log_fd, frame)
+            _write_all(self._disk, self._log_fd, frame)
             self._disk.sync(self._log_fd)
             self._end += len(frame)
 
@@ -169,15 +210,11 @@
     def _replace(self, name: str, content: bytes) -> None:
         path = self._path(name)
         with open(f'{path}.new', 'wb') as target:
-            self._write_all(target.fileno(), content)
+            _write_all(self._disk, target.fileno(), content)
             self._disk.sync(target.fileno())
         os.replace(f'{path}.new', path)
         self._sync_folder()
 
-    def _write_all(self, descriptor: int, content: bytes) -> None:
-        while content:
-            content = content[self._disk.write(descriptor, content) :]
-
     def _sync_folder(self) -> None:
         descriptor = os.open(self._folder, os.O_RDONLY)
         with ExitStack() as stack:
@@ -199,6 +236,38 @@
     """Args: name of the file, offset in bytes, and what is wrong there."""
 
 
+def write_probe(folder: str, disk: Disk) -> None:
+    """Write, sync and remove a small file.
+
+    Raises:
+        OSError: the disk refuses it, with one of DISK_FULL_ERRNOS if it is
+            full.
+    """
+    path = os.path.join(folder, 'probe')
+    with open(path, 'wb') as target:
+        _write_all(disk, target.fileno(), bytes(PROBE_BYTES))
+        disk.sync(target.fileno())
+    os.remove(path)
+
+
+def find_full_disk(folder: str) -> str:
+    """Return why the disk of a folder refuses writes, empty if it doesn't.
+
+    The folder is created if it is missing.
+
+    Raises:
+        OSError: the folder cannot be used for another reason.
+    """
+    try:  # noqa: WPS229  both fail alike
+        os.makedirs(folder, mode=0o700, exist_ok=True)
+        write_probe(folder, Disk())
+    except OSError as exc:
+        if exc.errno not in DISK_FULL_ERRNOS:
+            raise
+        return str(exc)
+    return ''
+
+
 def open_folder(folder: str, disk: Disk) -> Result[LogFile, Fault]:
     """Create a data folder where it is missing, and lock it.
 
@@ -221,6 +290,11 @@
     return Ok(LogFile(folder, disk, lock_fd))
 
 
+def _write_all(disk: Disk, descriptor: int, content: bytes) -> None:
+    while content:
+        content = content[disk.write(descriptor, content) :]
+
+
 def _read(path: str) -> bytes:
     try:
         with open(path, 'rb') as source:
--- a/medlarhoist/consensus/log_file_test.py
+++ b/medlarhoist/consensus/log_file_test.py
@@ -2,6 +2,7 @@
 
 import errno
 import os
+from functools import partial
 
 import pytest
 
@@ -166,3 +167,52 @@
     with pytest.raises(OSError, match='input/output error'):
         folder.save(Write(entries=added), replace_suffix(log, added))
     folder.close()
+
+
+def _create_filling_disk(failing):
+    """Return a disk that is full from a number of calls on.
+
+    Args:
+        failing: holds the number of calls that still work; empty for a disk
+            with room.
+    """
+
+    def call(function, *arguments):
+        if failing:
+            if not failing[0]:
+                raise OSError(errno.ENOSPC, 'no space left')
+            failing[0] -= 1
+        return function(*arguments)
+
+    return Disk(write=partial(call, os.write), sync=partial(call, os.fsync))
+
+
+# Each of three files is written and synced, and its folder; then the log is
+# opened again.
+CALLS_OF_A_SNAPSHOT = 11
+
+
+@pytest.mark.parametrize('calls', range(CALLS_OF_A_SNAPSHOT + 1))
+@pytest.mark.parametrize('restarts', [False, True])
+def test_a_disk_that_fills_at_any_call_loses_no_entry(written, calls, restarts):
+    """A rewritten log was not opened again: later entries went nowhere."""
+    failing = []
+    folder = open_folder(str(written), _create_filling_disk(failing)).unwrap()
+    log = Log(entries=folder.load().unwrap().entries)
+    snapshot = LogSnapshot(index=4, term=1, voters={}, body=b'state')
+    compacted = compact_log(log, snapshot)
+    hard = HardState(incarnation='f', term=9)
+    failing.append(calls)
+    refused = folder.save(Write(hard=hard, snapshot=snapshot), compacted)
+    assert refused.is_err() or calls >= CALLS_OF_A_SNAPSHOT
+    failing.clear()
+    assert folder.probe().is_ok()
+    kept = compacted if refused.is_ok() else log
+    added = entries(7, 8)
+    folder.save(Write(entries=added), replace_suffix(kept, added)).unwrap()
+    if restarts:
+        folder.close()
+        stored = load(written).unwrap()
+        expected = entries(5, 8) if stored.snapshot else entries(1, 8)
+        assert stored.entries == expected
+    folder.close()
