Await sources whose disk is full, and keep them up

A member whose disk was full for four seconds was taken for failed: a standby got its slot, and it was wiped, on and off, or ended at its next start ("cannot start: No space left on device"). One whose disk stayed full kept its slot instead where it could answer that it lacked entries. A slot was given to each standby that asked, and those that lost were retired again.

A voting member that returns and can write gets its messages again.

--- a/medlarhoist/consensus/message.py
+++ b/medlarhoist/consensus/message.py
@@ -1,7 +1,7 @@
 """Message: messages between replicas, and the other events of a replica.
 
 Messages may be lost, repeated and reordered. Each names its sender and its
-receiver; all but Probe also carry a term.
+receiver; all but Probe and Unwritable also carry a term.
 """
 
 from msgspec import Struct, field
@@ -158,6 +158,20 @@
     term: int
 
 
+class Unwritable(Struct, frozen=True, kw_only=True, tag='unwritable'):
+    """Tells a leader that a follower is up, but its disk refuses writes.
+
+    Args:
+        sender: the follower, which could not store a message of the leader.
+        receiver: the leader.
+        incarnation: identity of the data folder that cannot be written.
+    """
+
+    sender: str
+    receiver: str
+    incarnation: str
+
+
 Message = (
     VoteRequest
     | VoteReply
@@ -166,6 +180,7 @@
     | InstallSnapshot
     | Probe
     | ProbeReply
+    | Unwritable
 )
 
 
--- a/medlarhoist/consensus/replica.py
+++ b/medlarhoist/consensus/replica.py
@@ -61,6 +61,9 @@
         round: newest heartbeat round that it replied to.
         sent_at: when the newest message that it replied to was sent, in
             seconds of the leader's clock.
+        unwritable_at: when it last reported that its disk refuses writes, in
+            seconds of the leader's clock.
+        unwritable_since: when it first did since it last accepted entries.
     """
 
     next_index: int
@@ -69,6 +72,8 @@
     endpoint: str = field(default='', name='place')
     round: int = 0
     sent_at: float = -inf
+    unwritable_at: float = -inf
+    unwritable_since: float = inf
 
 
 class Replica(Struct, frozen=True, kw_only=True):
--- a/medlarhoist/consensus/replication.py
+++ b/medlarhoist/consensus/replication.py
@@ -3,6 +3,7 @@
 Handlers take a replica and return the next one with the messages to send.
 """
 
+from math import inf
 from typing import Final
 
 from msgspec.structs import replace
@@ -130,6 +131,7 @@
         progress,
         held=max(progress.held, reply.index),
         next_index=max(progress.next_index, reply.index + 1),
+        unwritable_since=inf,
     )
 
 
--- a/medlarhoist/consensus/step.py
+++ b/medlarhoist/consensus/step.py
@@ -39,6 +39,7 @@
     Propose,
     Resign,
     Tick,
+    Unwritable,
     VoteReply,
     VoteRequest,
 )
@@ -48,6 +49,7 @@
     HardState,
     LogSnapshot,
 )
+from medlarhoist.consensus.replacement import receive_unwritable
 from medlarhoist.consensus.replica import (
     Random,
     Replica,
@@ -156,6 +158,8 @@
     now: float,
     random: Random,
 ) -> HandlerResult:
+    if isinstance(message, Unwritable):
+        return receive_unwritable(replica, message, now), ()
     match message:
         case VoteRequest():
             return receive_vote_request(replica, message, now, random)
--- a/medlarhoist/source/app.py
+++ b/medlarhoist/source/app.py
@@ -16,7 +16,7 @@
     create_distributor,
 )
 from medlarhoist.source.ledger import ReplicatedLedger, create_ledger
-from medlarhoist.source.metrics import list_source_samples
+from medlarhoist.source.metrics import list_source_samples, sample_storage
 from medlarhoist.source.mover import create_mover
 from medlarhoist.source.standby import wait_for_retirement
 from medlarhoist.source.transition import apply_command
@@ -134,13 +134,14 @@
             **self._ledger.procedures(),
             **self._distributor.procedures(),
         }
+        # First, as a full disk may refuse it; nothing else runs then.
+        await self._ledger.start()
         server = await start_server(
             self._cfg.endpoint.control,
             procedures,
             self._cfg.shared_key,
             self._distributor.traffic,
         )
-        await self._ledger.start()
         await self._distributor.start()
         await self._mover.start()
         sites = (
@@ -173,7 +174,8 @@
         return metrics
 
     def _list_samples(self) -> Iterable[Sample]:
-        return list_source_samples(self._ledger, self._distributor.status())
+        yield sample_storage(self._ledger.peer_service.storage_fault)
+        yield from list_source_samples(self._ledger, self._distributor.status())
 
     async def _stop(self, sites: tuple[Site, ...]) -> None:
         """Stop all components, the listeners of operators first.
--- a/medlarhoist/source/ledger_driver.py
+++ b/medlarhoist/source/ledger_driver.py
@@ -13,13 +13,18 @@
 from loguru import logger
 from msgspec.structs import replace
 
-from medlarhoist.consensus.log_file import Disk, LogFile, open_folder
+from medlarhoist.consensus.log_file import Disk, open_folder
 from medlarhoist.consensus.message import Event, Message, Resign, Tick
+from medlarhoist.consensus.replacement import (
+    Routes,
+    report_unwritable,
+)
 from medlarhoist.consensus.replica import Replica, Role, create_replica
 from medlarhoist.consensus.step import Step, step
 from medlarhoist.core.resource import Fault
 from medlarhoist.core.settings import SourceSettings
 from medlarhoist.source.ledger_link import PeerLink, create_link, endpoint_of
+from medlarhoist.source.ledger_storage import ReplicaStorage
 
 TICK_SECONDS: Final = 0.05
 
@@ -40,22 +45,22 @@
     """Runs one replica.
 
     Args:
-        fault: why the last write failed or the replica halted, empty if
-            neither applies.
         replica: its current state, None while it is halted.
+        standbys: the standby that is about to get a member slot, by name of
+            the slot.
     """
 
     __slots__ = (
         '_cfg',
         '_disk',
-        '_folder',
         '_links',
         '_on_halted',
         '_on_stepped',
-        '_standby_endpoints',
+        '_halted_by',
+        '_storage',
         '_task',
-        'fault',
         'replica',
+        'standbys',
     )
 
     def __init__(
@@ -79,11 +84,18 @@
         self._on_stepped = on_stepped
         self._on_halted = on_halted
         self._links: dict[str, PeerLink] = {}
-        self._standby_endpoints: dict[str, str] = {}
-        self._folder: LogFile | None = None
+        self.standbys: Routes = {}
+        self._halted_by = ''
+        self._storage: ReplicaStorage | None = None
         self._task: asyncio.Task[None] | None = None
         self.replica: Replica | None = None
-        self.fault = ''
+
+    @property
+    def fault(self) -> str:
+        """Return why the last write failed or the replica halted, if so."""
+        if self._halted_by or self._storage is None:
+            return self._halted_by
+        return self._storage.fault
 
     def start(self) -> Replica:
         """Recover the replica from the disk and start to run it.
@@ -123,22 +135,20 @@
             endpoints.update(self.replica.endpoints)
         return endpoints
 
-    def route_to_standby(self, name: str, endpoint: str) -> None:
-        """Send messages for a member slot to a standby from now on.
+    def route_to_standbys(self, standbys: Routes) -> None:
+        """Send messages for these member slots to standbys from now on.
 
-        Thus the standby receives the log before it is admitted. The committed
+        Thus a standby receives the log before it is admitted. The committed
         admission then sets the endpoint of the slot.
 
         Args:
-            name: the member slot.
-            endpoint: endpoint of the standby.
+            standbys: by name of the member slot. Messages for other slots go
+                to their members.
         """
-        if (
-            self.replica is None
-            or self._standby_endpoints.get(name) == endpoint
-        ):
+        if self.replica is None or standbys == self.standbys:
             return
-        self._standby_endpoints[name] = endpoint
+        logger.bind(standbys=sorted(standbys)).info('ledger: slots on offer')
+        self.standbys = dict(standbys)
         self._update_links(self.replica)
 
     def _update_links(self, replica: Replica) -> None:
@@ -146,7 +156,7 @@
         endpoints = {
             **self.endpoints(),
             **replica.endpoints,
-            **self._standby_endpoints,
+            **{name: route.endpoint for name, route in self.standbys.items()},
         }
         for name in replica.peers:
             link = self._links.get(name)
@@ -184,6 +194,8 @@
             return False
         computed = step(before, event, time.monotonic(), random.random)
         if not self._save(computed):
+            for notice in report_unwritable(before, event):
+                self._links[notice.receiver].send(notice)
             asyncio.get_running_loop().call_soon(self._resign)
             return False
         self.replica = computed.replica
@@ -198,7 +210,7 @@
         """Update the links to the endpoints of newly committed admissions."""
         for name, endpoint in after.endpoints.items():
             if before.endpoints.get(name) != endpoint:
-                self._standby_endpoints.pop(name, None)
+                self.standbys.pop(name, None)
                 logger.bind(name=name, place=endpoint).info(
                     'ledger: a source has a new endpoint',
                 )
@@ -209,11 +221,15 @@
         if opened.is_err():
             raise StorageDamaged(opened.unwrap_err())
         folder = opened.unwrap()
-        loaded = folder.load()
+        try:
+            loaded = folder.load()
+        except OSError:
+            folder.close()
+            raise
         if loaded.is_err():
             folder.close()
             raise StorageDamaged(loaded.unwrap_err())
-        self._folder = folder
+        self._storage = ReplicaStorage(folder)
         stored = loaded.unwrap()
         replica = create_replica(
             self._cfg.name,
@@ -233,19 +249,21 @@
     async def _run(self) -> None:
         while self.replica is not None:
             try:
+                if self._storage is not None:
+                    self._storage.probe()
                 self.handle(Tick())
             except Exception as exc:
                 logger.exception('ledger: the replica halts')
-                self.fault = repr(exc)
+                self._halted_by = repr(exc)
                 self._halt('a committed command cannot be applied')
             await asyncio.sleep(TICK_SECONDS)
 
     def _halt(self, reason: str) -> None:
         """Stop the replica: it leaves the group and writes nothing more."""
         self.replica = None
-        if self._folder is not None:
-            self._folder.close()
-        self._folder = None
+        if self._storage is not None:
+            self._storage.close()
+        self._storage = None
         self._on_halted(reason)
 
     def _resign(self) -> None:
@@ -265,18 +283,12 @@
         A disk that refuses the write, as when it is full, leaves the replica
         running; any other failure halts it.
         """
-        if computed.write is None or self._folder is None:
+        if computed.write is None or self._storage is None:
             return True
         try:
-            saved = self._folder.save(computed.write, computed.replica.log)
+            return self._storage.save(computed.write, computed.replica.log)
         except OSError as exc:
             logger.error('ledger: the disk failed, the replica halts ({})', exc)
-            self.fault = str(exc)
+            self._halted_by = str(exc)
             self._halt('the disk failed')
             return False
-        refusal = saved.err()
-        fault = '' if refusal is None else refusal.message
-        if fault != self.fault:
-            logger.warning('ledger: disk: {}', fault or 'writable again')
-        self.fault = fault
-        return not fault
--- a/medlarhoist/source/ledger_peers.py
+++ b/medlarhoist/source/ledger_peers.py
@@ -13,10 +13,10 @@
 from msgspec.structs import replace
 
 from medlarhoist.consensus.replacement import (
+    Addresses,
     MembershipReply,
     MembershipRequest,
-    choose_member_slot,
-    is_retired,
+    decide_membership,
 )
 from medlarhoist.consensus.replica import Role
 from medlarhoist.core.interfaces import NotLeader, OutcomeUnknown
@@ -58,6 +58,11 @@
             REQUEST_MEMBERSHIP: self._serve_membership,
         }
 
+    @property
+    def storage_fault(self) -> str:
+        """Return why the last write failed or the replica halted, if so."""
+        return self._driver.fault
+
     def list_peers(self) -> tuple[Peer, ...]:
         """Return name and addresses of each member, sorted by name."""
         endpoints = self._driver.endpoints()
@@ -78,6 +83,7 @@
             endpoint=replica.endpoint,
             name=replica.name,
             incarnation=replica.incarnation,
+            is_writable=not self._driver.fault,
         )
 
     def seconds_since_leader_contact(self, now: float) -> float:
@@ -113,14 +119,15 @@
         replica = self._driver.replica
         if replica is None:
             return undecided
-        if is_retired(replica, request):
-            return replace(undecided, is_retired=True)
-        if request.name:
-            return replace(undecided, name=request.name)
-        name = choose_member_slot(replica, request, endpoints, time.monotonic())
-        if name:
-            self._driver.route_to_standby(name, request.endpoint)
-        return replace(undecided, name=name)
+        endpoints = self._driver.endpoints()
+        addresses = Addresses(members=endpoints, standbys=self._driver.standbys)
+        decision = decide_membership(
+            replica, request, addresses, time.monotonic()
+        )
+        self._driver.route_to_standbys(decision.standbys)
+        return replace(
+            undecided, name=decision.name, is_retired=decision.is_retired
+        )
 
     async def _deliver(self, stream: Any) -> None:
         if self._driver.replica is None:
--- a/medlarhoist/source/metrics.py
+++ b/medlarhoist/source/metrics.py
@@ -43,8 +43,13 @@
     name='domain_silent_seconds',
     doc='Time since a keeper of a failure domain was attached.',
 )
+STORAGE_FAULT: Final = Metric(
+    name='storage_refuses_writes',
+    doc='Whether the disk of this source, member or standby, is full.',
+)
 SOURCE_METRICS: Final = (
     LEADS,
+    STORAGE_FAULT,
     VERSION,
     STAGED_SINCE,
     RESOURCES,
@@ -83,6 +88,15 @@
         )
 
 
+def sample_storage(fault: str) -> Sample:
+    """Return the sample of the disk of a source.
+
+    Args:
+        fault: why it refuses writes, empty if it doesn't.
+    """
+    return Sample(metric=STORAGE_FAULT, number=int(bool(fault)))
+
+
 def _list_state_samples(state: State) -> Iterator[Sample]:
     yield Sample(metric=VERSION, number=state.active.version)
     staged_ms = state.staged.at_ms if state.staged else 0
--- a/medlarhoist/source/serve.py
+++ b/medlarhoist/source/serve.py
@@ -5,33 +5,37 @@
 """
 
 import asyncio
-from collections.abc import Callable
-from typing import Final
+from collections.abc import Awaitable, Callable
+from typing import Final, TypeVar
 
 from loguru import logger
 from msgspec import Struct, field
 from msgspec.structs import replace
 from result import Err
 
+from medlarhoist.consensus.log_file import DISK_FULL_ERRNOS
 from medlarhoist.core.settings import SourceSettings
 from medlarhoist.source.app import CreateSites, SourceApp
 from medlarhoist.source.identity import (
-    Identity,
     find_identity,
     retire_folder,
     write_identity,
 )
 from medlarhoist.source.ledger_driver import StorageDamaged
+from medlarhoist.source.metrics import sample_storage
 from medlarhoist.source.standby import Standby, create_standby
 from medlarhoist.utils.admin import create_admin
 from medlarhoist.utils.logs import set_up_logs
 from medlarhoist.utils.loop import Host, create_host, listen_for_stop
+from medlarhoist.utils.metrics import create_metrics
 from medlarhoist.utils.reload import Reloader
 from medlarhoist.utils.tasks import run_until_first
 from medlarhoist.utils.web import Site
 
 EXIT_STORAGE_DAMAGED: Final = 4
+RETRY_SECONDS: Final = 0.5
 
+Result = TypeVar('Result')
 CreateStandbySites = Callable[[Host, Standby], tuple[Site, ...]]
 Reread = Callable[[], SourceSettings | None]
 
@@ -83,7 +87,7 @@
     reloader.start()
     try:
         while not stop_requested.is_set():
-            await _serve_once(cfg, host, sites, standby, stop_requested)
+            await _serve_until_full(cfg, host, sites, standby, stop_requested)
     except (StorageDamaged, OSError) as exc:
         logger.error('source: cannot start: {}', exc)
         return EXIT_STORAGE_DAMAGED
@@ -92,6 +96,32 @@
     return 0
 
 
+async def _serve_until_full(
+    cfg: SourceSettings,
+    host: Host,
+    sites: Sites,
+    standby: Standby,
+    stop_requested: asyncio.Event,
+) -> None:
+    """Serve once the disk has room; return when it is full or at the end.
+
+    A source whose disk is full does not end: it waits as a standby would, and
+    goes on with what it had to do.
+    """
+    if not standby.has_room():
+        await _serve_as_standby(
+            cfg, host, sites, standby, stop_requested, standby.wait_for_room
+        )
+        return
+    try:
+        await _serve_once(cfg, host, sites, standby, stop_requested)
+    except OSError as exc:
+        if exc.errno not in DISK_FULL_ERRNOS:
+            raise
+        logger.warning('source: waits for room on its disk: {}', exc)
+        await asyncio.sleep(RETRY_SECONDS)
+
+
 async def _serve_once(
     cfg: SourceSettings,
     host: Host,
@@ -115,6 +145,7 @@
             sites,
             standby,
             stop_requested,
+            standby.wait_for_member_slot,
         )
         if identity is not None:
             write_identity(cfg.data_folder, identity)
@@ -128,8 +159,10 @@
     )
     app = SourceApp(member_cfg)
     app.register(host)
-    is_retired = await app.serve(host, sites.member, stop_requested)
-    app.unregister()
+    try:  # noqa: WPS501  it may fail for a full disk, and is run again then
+        is_retired = await app.serve(host, sites.member, stop_requested)
+    finally:
+        app.unregister()
     if is_retired:
         logger.warning(
             'source: its member slot was reassigned; wiping the data folder',
@@ -143,22 +176,25 @@
     sites: Sites,
     standby: Standby,
     stop_requested: asyncio.Event,
-) -> Identity | None:
-    """Serve as a standby until a member slot is assigned.
+    wait: Callable[[], Awaitable[Result]],
+) -> Result | None:
+    """Serve as a standby during a wait.
 
     Returns:
-        The identity of the slot, None if the process shall stop before.
+        The result of the wait, None if the process shall stop before.
     """
-    assigned: list[Identity] = []
+    results: list[Result] = []
 
-    async def wait_for_member_slot() -> None:  # noqa: WPS430  keeps its result
-        assigned.append(await standby.wait_for_member_slot())
+    async def keep_result() -> None:  # noqa: WPS430  closure over results
+        results.append(await wait())
 
+    metrics = create_metrics()
+    metrics.add(lambda: (sample_storage(standby.fault),))
     listeners = (
-        create_admin(host, cfg.admin, standby.dump),
+        create_admin(host, cfg.admin, standby.dump, metrics=metrics),
         *sites.standby(host, standby),
     )
-    await run_until_first(stop_requested.wait(), wait_for_member_slot())
+    await run_until_first(stop_requested.wait(), keep_result())
     for site in listeners:
         await site.stop()
-    return assigned[0] if assigned else None
+    return results[0] if results else None
--- a/medlarhoist/source/standby.py
+++ b/medlarhoist/source/standby.py
@@ -11,6 +11,7 @@
 
 from loguru import logger
 
+from medlarhoist.consensus.log_file import find_full_disk
 from medlarhoist.consensus.replacement import MembershipReply, MembershipRequest
 from medlarhoist.core.settings import SourceSettings
 from medlarhoist.source.identity import Identity
@@ -25,6 +26,8 @@
 
 REQUEST_INTERVAL_SECONDS: Final = 0.3
 CHECK_INTERVAL_SECONDS: Final = 1.0
+# How often the disk is tried, before a member slot is requested.
+PROBE_INTERVAL_SECONDS: Final = 1.0
 # Longer than an election, so that members don't ask when the leader changes.
 LEADER_TIMEOUT_SECONDS: Final = 3.0
 
@@ -34,10 +37,18 @@
 
     Args:
         endpoints: endpoint of each member, by name.
+        fault: why its disk refuses writes, empty if it doesn't.
         leader: name of the leader, empty if it is unknown.
     """
 
-    __slots__ = ('_cfg', '_channels', 'endpoints', 'leader')
+    __slots__ = (
+        '_cfg',
+        '_channels',
+        '_probe_due',
+        'endpoints',
+        'fault',
+        'leader',
+    )
 
     def __init__(self, cfg: SourceSettings, channels: Channels) -> None:
         """Start with the sources of the settings.
@@ -48,6 +59,8 @@
         """
         self._cfg = cfg
         self._channels = channels
+        self._probe_due = float()
+        self.fault = ''
         self.leader = ''
         self.endpoints = {peer.name: endpoint_of(peer) for peer in cfg.sources}
 
@@ -57,6 +70,7 @@
             'role': 'spare',
             'leader': self.leader,
             'places': self.endpoints,
+            'fault': self.fault,
         }
 
     def update_sources(self, cfg: SourceSettings) -> None:
@@ -67,15 +81,34 @@
         configured = {peer.name: endpoint_of(peer) for peer in cfg.sources}
         self.endpoints = {**configured, **self.endpoints}
 
+    def has_room(self) -> bool:
+        """Return whether the disk takes writes; it is tried now and then."""
+        now = time.monotonic()
+        if now >= self._probe_due:
+            self._probe_due = now + PROBE_INTERVAL_SECONDS
+            fault = find_full_disk(self._cfg.data_folder)
+            if bool(fault) != bool(self.fault):
+                logger.warning('standby: disk: {}', fault or 'writable again')
+            self.fault = fault
+        return not self.fault
+
+    async def wait_for_room(self) -> None:
+        """Wait until the disk takes writes."""
+        while not self.has_room():
+            await asyncio.sleep(REQUEST_INTERVAL_SECONDS)
+
     async def wait_for_member_slot(self) -> Identity:
         """Ask for a member slot until one is assigned.
 
+        None is asked for while the disk is full, which could not use it.
+
         Returns:
             The identity under which this source joins the group.
         """
         request = MembershipRequest(endpoint=endpoint_of(self._cfg.endpoint))
         logger.info('standby: requests a member slot')
         while True:
+            await self.wait_for_room()
             reply = await self._ask_all(request)
             if reply is not None and reply.name:
                 break
