--- a/medlarhoist/platform/configuration.py
+++ b/medlarhoist/platform/configuration.py
@@ -4,9 +4,9 @@
 are not read here. The private records mirror the platform's document.
 """
 
-from typing import Any, Final
+from typing import Annotated, Any, Final
 
-from msgspec import Struct, field, json
+from msgspec import Meta, Struct, field, json
 from result import Err, Ok, Result
 
 from medlarhoist.core.api_messages import REVISION_LIMIT, ReplaceRequest
@@ -26,16 +26,21 @@
 from medlarhoist.utils.web import JSON_ERRORS
 
 _MS_PER_SECOND: Final = 1000
+# What the ledger can store; the sources check the ranges of resources.
+MAX_NUMBER: Final = 2**53
+MAX_SECONDS: Final = 1_000_000_000
+Number = Annotated[int, Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+Seconds = Annotated[float, Meta(ge=-MAX_SECONDS, le=MAX_SECONDS)]
 
 
 class _Service(Struct, kw_only=True):
     name: str
-    connections: int = field(name='max_connections')
+    connections: Number = field(name='max_connections')
 
 
 class _WeightedService(Struct, kw_only=True):
     service: str
-    weight: int
+    weight: Number
 
 
 class _Route(Struct, kw_only=True):
@@ -44,14 +49,14 @@
     name: str
     prefix: str = field(name='path_prefix')
     kind: str = field(name='route_type')
-    timeout_s: float
-    objective_s: float = field(name='target_latency_s', default=0)
-    priority: int = 0
+    timeout_s: Seconds
+    objective_s: Seconds = field(name='target_latency_s', default=0)
+    priority: Number = 0
     service: str = ''
     split: tuple[_WeightedService, ...] = field(
         name='traffic_split', default=()
     )
-    attempts: int = field(name='max_attempts')
+    attempts: Number = field(name='max_attempts')
 
 
 class _VirtualHost(Struct, kw_only=True):
@@ -60,15 +65,15 @@
 
 
 class _Limits(Struct, kw_only=True):
-    head_bytes: int = field(name='max_header_bytes')
-    body_bytes: int = field(name='max_body_bytes')
-    head_timeout_s: float = field(name='header_timeout_s')
-    idle_timeout_s: float
+    head_bytes: Number = field(name='max_header_bytes')
+    body_bytes: Number = field(name='max_body_bytes')
+    head_timeout_s: Seconds = field(name='header_timeout_s')
+    idle_timeout_s: Seconds
 
 
 class _Document(Struct, kw_only=True):
-    revision: int = field(name='version')
-    base: int = field(name='base_version')
+    revision: Number = field(name='version')
+    base: Number = field(name='base_version')
     services: tuple[_Service, ...]
     hosts: tuple[_VirtualHost, ...] = field(name='virtual_hosts')
     limits: _Limits | None = None
--- a/medlarhoist/platform/configuration_test.py
+++ b/medlarhoist/platform/configuration_test.py
@@ -197,6 +197,29 @@
     assert after is state
 
 
+def _list_numbers(record):
+    """Yield each object and key of a document that hold a number."""
+    inner = record.items() if isinstance(record, dict) else enumerate(record)
+    for key, content in inner:
+        if isinstance(content, dict | list):
+            yield from _list_numbers(content)
+        elif isinstance(content, int | float):
+            yield record, key
+
+
+@pytest.mark.parametrize('number', [2**64, 10**30, -(10**30), 1e308])
+def test_a_number_that_cannot_be_stored_is_refused(document, number):
+    """Status 500 would have it sent to one source after the other."""
+    places = list(_list_numbers(document))
+    assert places
+    for record, key in places:
+        before = record[key]
+        record[key] = number
+        assert read_configuration(_encode(document)).is_err(), key
+        record[key] = before
+    assert read_configuration(_encode(document)).is_ok()
+
+
 def test_a_truncated_body_changes_nothing(document, state):
     body = _encode(document)
     for size in range(0, len(body), 37):
--- a/medlarhoist/platform/operators.py
+++ b/medlarhoist/platform/operators.py
@@ -8,7 +8,7 @@
 from medlarhoist.core.command import MovePhase, MoveState, Outcome, Status
 from medlarhoist.core.interfaces import NotLeader, OutcomeUnknown, find_leader
 from medlarhoist.core.settings import Peer
-from medlarhoist.platform.configuration import read_configuration
+from medlarhoist.platform.configuration import Seconds, read_configuration
 from medlarhoist.platform.names import (
     GET_CONFIGURATION_PATH,
     MOVE_PATH,
@@ -49,7 +49,7 @@
 
     service: str
     label: str = field(name='target_version')
-    duration_s: float
+    duration_s: Seconds
 
 
 class OperatorApi:
