Check a notice against the earlier ones of its run by id and start

A notice under the id and start of the run, with another version, counted as that of another run: its sequence was not compared, and an odd one outdated the next notices of the sound instance. A run does not change its version, so that is refused now. The start of a known run is not compared with the clock again, which may be set back while the instance runs; a start may lie ten minutes ahead.

target_registration_test.py: the two cases of an odd version failed before.

--- a/medlarhoist/core/notice_check.py
+++ b/medlarhoist/core/notice_check.py
@@ -9,13 +9,14 @@
 
 from msgspec import ValidationError, convert
 
-from medlarhoist.core.presence import Presence, is_same_run
+from medlarhoist.core.presence import Presence
 from medlarhoist.core.settings import NodeSettings
 from medlarhoist.core.target import RunId, TargetNotice
 
-# The clocks of a target and its node may be apart by seconds. A start that
-# lies further ahead would outdate the notices of every later run.
-MAX_AHEAD_MS: Final = 60_000
+# The clocks of a target and its node may be apart by seconds, or be set while
+# they run. A start that lies further ahead would outdate the notices of every
+# later run.
+MAX_AHEAD_MS: Final = 600_000
 # A sequence may count anything that grows, milliseconds at the most.
 MAX_SEQUENCE_PER_S: Final = 10_000
 SEQUENCE_SLACK_S: Final = 10.0
@@ -42,9 +43,11 @@
         return f'service: {show(notice.service)} is not {cfg.service!r}'
     if cfg.target and notice.address != cfg.target:
         return f'address: {show(notice.address)} is not {cfg.target!r}'
-    return _find_start_fault(notice.born_ms, now_ms) or _find_sequence_fault(
-        presence, notice, now
-    )
+    newest = presence.last
+    if newest is not None and notice.run_key == newest.run_key:
+        since_s = max(0, now - presence.heard_seconds)
+        return _find_change_fault(newest, notice, since_s)
+    return _find_start_fault(notice.born_ms, now_ms)
 
 
 def find_leave_fault(run_id: str, born_ms: int, now_ms: int) -> str:
@@ -73,17 +76,23 @@
     return repr(value)[:SHOWN_CHARACTERS]
 
 
-def _find_sequence_fault(
-    presence: Presence,
+def _find_change_fault(
+    newest: TargetNotice,
     notice: TargetNotice,
-    now: float,
+    since_s: float,
 ) -> str:
-    """Return why a sequence can't follow that of the same run."""
-    newest = presence.last
-    if newest is None or not is_same_run(newest, notice):
-        return ''
-    since_s = max(0, now - presence.heard_seconds) + SEQUENCE_SLACK_S
-    highest = newest.sequence + int(since_s * MAX_SEQUENCE_PER_S)
+    """Return why a notice can't follow another of the same run.
+
+    Args:
+        newest: the newest notice of the run.
+        notice: a later one.
+        since_s: seconds between them.
+    """
+    if notice.run_id and notice.label != newest.label:
+        return f'version: {show(notice.label)} is not {newest.label!r}'
+    highest = newest.sequence + int(
+        (since_s + SEQUENCE_SLACK_S) * MAX_SEQUENCE_PER_S
+    )
     if notice.sequence > highest:
         return f'sequence: {notice.sequence} is above {highest}'
     return ''
