Let runs of targets leave in the soak of the distribution

Once the fleet has converged, notices of the runs that have left arrive late; none of them may be used again.

--- a/bench/distribution_soak.py
+++ b/bench/distribution_soak.py
@@ -2,7 +2,8 @@
 
 Run `python -m bench.distribution_soak SEED SECONDS`. A node must never put a
 lower version in force than before, even across its restarts, and all nodes
-must converge on the newest version once all partitions are healed.
+must converge on the newest version once all partitions are healed. Runs of
+targets leave meanwhile; then, a late notice must not bring one of them back.
 """
 
 import asyncio
@@ -15,10 +16,16 @@
 from loguru import logger
 
 from bench.distribution_fleet import Fleet, run_fleet, wait_until
+from medlarhoist.core.target import TargetNotice, TargetPhase
 
 DOMAINS: Final = ('a', 'b')
 NODES: Final = 5
 MAX_PAUSE_SECONDS: Final = 0.3
+BORN_MS: Final = 1_700_000_000_000
+# A notice may be late by seconds.
+MAX_LATE_SECONDS: Final = 30.0
+# A node that was disturbed has this time to learn of withdrawals.
+CONTACT_SECONDS: Final = 3.0
 Fault = Callable[['Soak'], Awaitable[None]]
 
 
@@ -28,18 +35,23 @@
     Attributes:
         changes: number of versions staged.
         last_versions: last version that each node put in force.
+        left: node, time and notice of each run that has left.
         regressions: descriptions of the cases in which a node went back to a
             lower version; empty if the fleet is correct.
         restarts: number of nodes restarted.
+        returned: nodes that use a run that has left; empty if the fleet is
+            correct.
     """
 
     __slots__ = (
         'changes',
         'fleet',
         'last_versions',
+        'left',
         'random',
         'regressions',
         'restarts',
+        'returned',
     )
 
     def __init__(self, fleet: Fleet, seed: int) -> None:
@@ -47,7 +59,9 @@
         self.changes = 0
         self.fleet = fleet
         self.last_versions: dict[str, int] = {}
+        self.left: list[tuple[str, float, TargetNotice]] = []
         self.regressions: list[str] = []
+        self.returned: list[str] = []
         self.random = Random(seed)
         self.restarts = 0
 
@@ -89,6 +103,25 @@
     await node.start()
 
 
+async def _leave(soak: Soak) -> None:
+    name = soak.random_node()
+    number = len(soak.left)
+    notice = TargetNotice(
+        service='bookings',
+        label='v1',
+        port=1,
+        slots=1,
+        phase=TargetPhase.READY,
+        run_id=f'i-{number}',
+        born_ms=BORN_MS + number,
+        sequence=1,
+    )
+    registration = soak.fleet.nodes[name].registration
+    await registration.accept(notice)
+    await registration.accept_leave(notice.run_id, notice.born_ms)
+    soak.left.append((name, time.monotonic(), notice))
+
+
 async def _partition_from_sources(soak: Soak) -> None:
     soak.fleet.partition_from_sources(soak.random_node())
 
@@ -116,6 +149,7 @@
     _change,
     _restart,
     _restart,
+    _leave,
     _partition_from_sources,
     _partition_from_nodes,
     _heal,
@@ -150,6 +184,7 @@
         await running.wait_until_in_force(0)
         await _inject(soak, seconds)
         await _converge(soak)
+        await _deliver_late_notices(soak)
 
     await run_fleet(fleet, scenario)
     return soak
@@ -172,6 +207,21 @@
     await soak.fleet.wait_until_in_force(log.state.active.version)
 
 
+async def _deliver_late_notices(soak: Soak) -> None:
+    """Deliver notices of runs that have left, and record those in use."""
+    await asyncio.sleep(CONTACT_SECONDS)
+    nodes = soak.fleet.nodes
+    for left_name, left_at, notice in soak.left:
+        if time.monotonic() - left_at < MAX_LATE_SECONDS:
+            await nodes[left_name].registration.accept(notice)
+    soak.returned = [
+        name
+        for name, node in nodes.items()
+        for target in node.registry.local_targets()
+        if target.phase is TargetPhase.READY
+    ]
+
+
 def main() -> None:
     """Run one soak and print its counts."""
     seed, seconds = int(sys.argv[1]), float(sys.argv[2])
@@ -180,7 +230,8 @@
     sys.stdout.write(
         f'seed {seed}: {soak.changes} changes, {soak.restarts} restarts, '
         f'highest {max(soak.last_versions.values())}, '
-        f'{len(soak.regressions)} versions went down\n'
+        f'{len(soak.regressions)} versions went down, '
+        f'{len(soak.left)} runs left, {len(soak.returned)} came back\n'
     )
 
 
