--- a/medlarhoist/node/target_registration.py
+++ b/medlarhoist/node/target_registration.py
@@ -150,10 +150,12 @@
             Why the leave is refused, naming the field; empty if it is not.
         """
         fault = find_leave_fault(run_id, born_ms, wall_ms())
-        if not fault:
-            self.remove(run_id, born_ms)
-            await self._replicate()
-        return fault
+        if fault:
+            logger.warning('target: leave refused: {}', fault)
+            return fault
+        self.remove(run_id, born_ms)
+        await self._replicate()
+        return ''
 
     def receive(self, notice: TargetNotice) -> str:
         """Apply a notice of the target; an outdated one is ignored.
@@ -165,7 +167,9 @@
         fault = find_notice_fault(
             self._cfg, self.presence, notice, now, wall_ms()
         )
-        if not fault:
+        if fault:
+            logger.warning('target: notice refused: {}', fault)
+        else:
             self._apply(notice, now)
         return fault
 
--- a/medlarhoist/platform/instances.py
+++ b/medlarhoist/platform/instances.py
@@ -110,9 +110,9 @@
 
 
 def _respond(fault: str) -> WebResponse:
-    return _refuse(fault) if fault else WebResponse(body=b'{}')
+    return WebResponse(status=400 if fault else 200, body=b'{}')
 
 
 def _refuse(fault: str) -> WebResponse:
     logger.warning('target: refused: {}', fault)
-    return WebResponse(status=400, body=b'{}')
+    return _respond(fault)
