Take settings that name no instance with a null

A machine without an instance may say so with a null, as it does for its disk; the new field of its address refused that, and the process would not start. Two cases, the one of a null failed before.

--- a/medlarhoist/platform/settings.py
+++ b/medlarhoist/platform/settings.py
@@ -39,8 +39,8 @@
     domain: str = field(name='zone')
     is_first_start: bool = field(name='bootstrap', default=False)
     data_folder: str | None = field(name='data_dir', default=None)
-    service: str = ''
-    target: str = field(name='app_addr', default='')
+    service: str | None = None
+    target: str | None = field(name='app_addr', default=None)
 
 
 class _Listen(Struct, kw_only=True):
@@ -200,8 +200,8 @@
         gossip=_local_address(settings, GOSSIP_PORT_OFFSET),
         entry=listen.outbound,
         peer=listen.inbound,
-        service=process.service,
-        target=process.target,
+        service=process.service or '',
+        target=process.target or '',
         heartbeat_ms=int(settings.platform.heartbeat_s * _MS_PER_SECOND),
         grace_ms=int(settings.terms.bounds.grace_s * _MS_PER_SECOND),
         logs=Logs(json=True),
--- a/medlarhoist/platform/settings_test.py
+++ b/medlarhoist/platform/settings_test.py
@@ -88,6 +88,14 @@
     assert cfg.spare is not None
 
 
+@pytest.mark.parametrize('value', [None, ''])
+def test_a_machine_without_an_instance_names_none(content, value):
+    """As `data_dir` does where there is no disk."""
+    content['self'].update(app_addr=value, service=value)
+    cfg = decode_deployment(content).ok_value.process
+    assert (cfg.target, cfg.service) == ('', '')
+
+
 @pytest.mark.parametrize('table', ['self', 'network'])
 def test_a_file_without_a_table_is_refused(content, table):
     content.pop(table)
