Replicate withdrawals to all keepers of two other domains

A domain that restarts as a whole asks random keepers of the others for the withdrawals of its runs, and only one of three in each domain held those that had just been acknowledged.

A leave is sent to all keepers of two other domains. The test that it is held elsewhere asks for all of them; both its cases failed before.

What is asserted is the same or stricter.

--- a/bench/withdrawal_spread_test.py
+++ b/bench/withdrawal_spread_test.py
@@ -44,6 +44,7 @@
                     for domain in DOMAINS
                 )
             )
+            await wait_until(lambda: all(map(_knows_keepers, _nodes(fleet))))
             await scenario(fleet)
 
         asyncio.run(run_fleet(fleet, main))
@@ -51,6 +52,18 @@
     return run
 
 
+def _nodes(fleet):
+    return fleet.nodes.values()
+
+
+def _knows_keepers(node):
+    """Return whether a node knows where to replicate a leave.
+
+    One that has just started does not yet, and may only tell its domain.
+    """
+    return set(node.distribution.directory.sets) == set(DOMAINS)
+
+
 async def _restart(fleet, names):
     await asyncio.gather(*(fleet.nodes[name].stop() for name in names))
     for name in names:
@@ -119,17 +132,20 @@
 
 @pytest.mark.parametrize('say', [_leave, _drain])
 def test_a_leave_is_held_elsewhere_once_it_is_acknowledged(run_domains, say):
-    """The node may lose power right after its acknowledgement."""
+    """The node, or its domain, may lose power right after it.
+
+    Only one keeper of each other domain held it: whether a domain that
+    restarted got it back in time depended on whom its keepers asked first.
+    """
 
     async def scenario(fleet):
         await say(fleet)
-        holders = {
-            node.cfg.domain
+        held = [
+            name
             for name, node in fleet.nodes.items()
-            if name != 'a0'
-            and node.withdrawals.export('a', monotonic_seconds())
-        }
-        assert holders == set(DOMAINS)
+            if node.withdrawals.export('a', monotonic_seconds())
+        ]
+        assert held == list(fleet.nodes)
 
     run_domains(scenario)
 
--- a/medlarhoist/node/withdrawal_exchange.py
+++ b/medlarhoist/node/withdrawal_exchange.py
@@ -100,8 +100,9 @@
             if domain != self._cfg.domain and keepers.members
         ]
         chosen = self._sample(members, MEMBERS_ASKED)
+        # Keepers of this domain that restart ask a random one of them.
         for keepers in self._sample(domains, DOMAINS_ASKED):
-            chosen.append(self._random.choice(keepers))
+            chosen.extend(keepers)
         return chosen
 
     def _sample(self, population: list[Any], count: int) -> list[Any]:
