Take versions of configurations up to their own limit again

The bound of numbers that can be stored was put on the versions as well, and is lower than theirs: versions above 2**53 were refused, which the check of versions allows up to 2**62. That check bounds them already. The new test failed before.

--- a/medlarhoist/platform/configuration.py
+++ b/medlarhoist/platform/configuration.py
@@ -72,8 +72,8 @@
 
 
 class _Document(Struct, kw_only=True):
-    revision: Number = field(name='version')
-    base: Number = field(name='base_version')
+    revision: int = field(name='version')
+    base: int = field(name='base_version')
     services: tuple[_Service, ...]
     hosts: tuple[_VirtualHost, ...] = field(name='virtual_hosts')
     limits: _Limits | None = None
--- a/medlarhoist/platform/configuration_test.py
+++ b/medlarhoist/platform/configuration_test.py
@@ -10,6 +10,7 @@
 import pytest
 from result import Ok
 
+from medlarhoist.core.api_messages import REVISION_LIMIT
 from medlarhoist.core.command import Activate, Replace, Status
 from medlarhoist.core.compile import compile_snapshot
 from medlarhoist.core.state import State
@@ -220,6 +221,12 @@
     assert read_configuration(_encode(document)).is_ok()
 
 
+def test_a_version_may_have_as_many_digits_as_before(document):
+    """The bound of other numbers is lower than that of versions."""
+    document.update(version=REVISION_LIMIT, base_version=REVISION_LIMIT - 1)
+    assert read_configuration(_encode(document)).is_ok()
+
+
 def test_a_truncated_body_changes_nothing(document, state):
     body = _encode(document)
     for size in range(0, len(body), 37):
