--- a/bench/calls_static.py
+++ b/bench/calls_static.py
@@ -13,7 +13,7 @@
 from medlarhoist.core.resource import Limits, Route, Service
 from medlarhoist.core.settings import NodeSettings
 from medlarhoist.core.snapshot import Share, Snapshot
-from medlarhoist.core.target import Target, TargetPhase
+from medlarhoist.core.target import Target, TargetNotice, TargetPhase
 
 SHARED_KEY = 'a shared key for benches'
 SERVICE = 'bookings'
@@ -172,6 +172,30 @@
         return f'127.0.0.1:{sock.getsockname()[1]}'
 
 
+def create_notice(
+    run_id: str = 'i-1',
+    born_ms: int = 5,
+    sequence: int = 1,
+) -> TargetNotice:
+    """Return a notice of a ready target.
+
+    Args:
+        run_id: id of its run.
+        born_ms: when the run started, milliseconds since 1970.
+        sequence: sequence of the notice.
+    """
+    return TargetNotice(
+        service=SERVICE,
+        label=LABEL,
+        port=1,
+        slots=1,
+        phase=TargetPhase.READY,
+        run_id=run_id,
+        born_ms=born_ms,
+        sequence=sequence,
+    )
+
+
 def create_settings(name: str, domain: str) -> NodeSettings:
     """Return settings of a node whose addresses have free ports."""
     return NodeSettings(
--- a/bench/distribution_fleet.py
+++ b/bench/distribution_fleet.py
@@ -120,8 +120,8 @@
             self.registry,
             membership,
             NoEvidence(),
-            self.channels,
             shared,
+            self.channels,
         )
         replicate = self.distribution.replicate_withdrawals
         self.registration = TargetRegistration(
--- a/bench/distribution_soak.py
+++ b/bench/distribution_soak.py
@@ -15,6 +15,7 @@
 
 from loguru import logger
 
+from bench.calls_static import create_notice
 from bench.distribution_fleet import Fleet, run_fleet, wait_until
 from medlarhoist.core.target import TargetNotice, TargetPhase
 
@@ -106,16 +107,7 @@
 async def _leave(soak: Soak) -> None:
     name = soak.random_node()
     number = len(soak.left)
-    notice = TargetNotice(
-        service='bookings',
-        label='v1',
-        port=1,
-        slots=1,
-        phase=TargetPhase.READY,
-        run_id=f'i-{number}',
-        born_ms=BORN_MS + number,
-        sequence=1,
-    )
+    notice = create_notice(f'i-{number}', BORN_MS + number)
     registration = soak.fleet.nodes[name].registration
     await registration.accept(notice)
     await registration.accept_leave(notice.run_id, notice.born_ms)
--- a/bench/quarantine_spread_test.py
+++ b/bench/quarantine_spread_test.py
@@ -2,16 +2,16 @@
 
 import asyncio
 import time
+from functools import partial
 
 import pytest
 
-from bench.distribution_fleet import Fleet, run_fleet, wait_until
+from bench.domain_fleet import run_domains
 from medlarhoist.core.quarantine import DEATHS_TO_QUARANTINE
 
 GUILTY = 'ab' * 12
 # The users allow further runs for this time after the last that counts.
 SPREAD_S = 3.0
-DOMAINS = 'abc'
 NODES_PER_DOMAIN = 4
 
 
@@ -37,26 +37,7 @@
 @pytest.fixture(name='run_fleet_of_domains')
 def _run_fleet_of_domains():
     """Return a function that runs a scenario with a fleet that has joined."""
-
-    def run(scenario):
-        fleet = Fleet(sources=1, keepers=3)
-        for domain in DOMAINS:
-            for number in range(NODES_PER_DOMAIN):
-                fleet.add_node(domain, number)
-
-        async def main(fleet):
-            await fleet.wait_until_in_force(0)
-            await wait_until(
-                lambda: all(
-                    len(fleet.log.state.keepers[domain].members) == 3
-                    for domain in DOMAINS
-                )
-            )
-            await scenario(fleet)
-
-        asyncio.run(run_fleet(fleet, main))
-
-    return run
+    return partial(run_domains, NODES_PER_DOMAIN)
 
 
 def test_all_domains_learn_of_a_conviction(run_fleet_of_domains):
--- a/bench/withdrawal_spread_test.py
+++ b/bench/withdrawal_spread_test.py
@@ -1,67 +1,26 @@
 """Tests that a run that has left is not used again after a restart."""
 
 import asyncio
+from functools import partial
 
 import pytest
 from msgspec.structs import replace
 
-from bench.distribution_fleet import Fleet, run_fleet, wait_until
-from medlarhoist.core.target import TargetNotice, TargetPhase
+from bench.calls_static import create_notice
+from bench.domain_fleet import run_domains
+from medlarhoist.core.target import TargetPhase
 from medlarhoist.utils.clock import monotonic_seconds
 
-DOMAINS = 'abc'
 NODES_PER_DOMAIN = 3
 # In steady state the users' rules count requests from this time on.
 CONTACT_S = 3.0
-NOTICE = TargetNotice(
-    service='bookings',
-    label='v1',
-    port=1,
-    slots=1,
-    phase=TargetPhase.READY,
-    run_id='i-1',
-    born_ms=1_700_000_000_000,
-    sequence=4,
-)
-
-
-@pytest.fixture(name='run_domains')
-def _run_domains():
-    """Return a function that runs a scenario with a fleet that has joined."""
-
-    def run(scenario):
-        fleet = Fleet(sources=1, keepers=NODES_PER_DOMAIN)
-        for domain in DOMAINS:
-            for number in range(NODES_PER_DOMAIN):
-                fleet.add_node(domain, number)
-
-        async def main(fleet):
-            await fleet.wait_until_in_force(0)
-            await wait_until(
-                lambda: all(
-                    len(fleet.log.state.keepers[domain].members)
-                    == NODES_PER_DOMAIN
-                    for domain in DOMAINS
-                )
-            )
-            await wait_until(lambda: all(map(_knows_keepers, _nodes(fleet))))
-            await scenario(fleet)
-
-        asyncio.run(run_fleet(fleet, main))
-
-    return run
-
+NOTICE = create_notice(born_ms=1_700_000_000_000, sequence=4)
 
-def _nodes(fleet):
-    return fleet.nodes.values()
 
-
-def _knows_keepers(node):
-    """Return whether a node knows where to replicate a leave.
-
-    One that has just started does not yet, and may only tell its domain.
-    """
-    return set(node.distribution.directory.sets) == set(DOMAINS)
+@pytest.fixture(name='run_fleet_of_domains')
+def _run_fleet_of_domains():
+    """Return a function that runs a scenario with a fleet that has joined."""
+    return partial(run_domains, NODES_PER_DOMAIN)
 
 
 async def _restart(fleet, names):
@@ -98,7 +57,7 @@
 @pytest.mark.parametrize('names', [('a0',), ('a0', 'a1', 'a2')])
 @pytest.mark.parametrize('late_s', [0, CONTACT_S])
 def test_a_late_notice_does_not_bring_back_a_run(
-    run_domains, say, names, late_s
+    run_fleet_of_domains, say, names, late_s
 ):
     """A node restarts, and a notice that was sent before the leave is late.
 
@@ -114,10 +73,10 @@
         await asyncio.sleep(CONTACT_S - late_s)
         assert not _ready_targets(fleet)
 
-    run_domains(scenario)
+    run_fleet_of_domains(scenario)
 
 
-def test_the_next_run_is_used_at_once(run_domains):
+def test_the_next_run_is_used_at_once(run_fleet_of_domains):
     async def scenario(fleet):
         await _leave(fleet)
         await _restart(fleet, ('a0',))
@@ -127,11 +86,13 @@
         await fleet.nodes['a0'].registration.accept(late)
         assert _ready_targets(fleet) == ['a0']
 
-    run_domains(scenario)
+    run_fleet_of_domains(scenario)
 
 
 @pytest.mark.parametrize('say', [_leave, _drain])
-def test_a_leave_is_held_elsewhere_once_it_is_acknowledged(run_domains, say):
+def test_a_leave_is_held_elsewhere_once_it_is_acknowledged(
+    run_fleet_of_domains, say
+):
     """The node, or its domain, may lose power right after it.
 
     Only one keeper of each other domain held it: whether a domain that
@@ -147,10 +108,10 @@
         ]
         assert held == list(fleet.nodes)
 
-    run_domains(scenario)
+    run_fleet_of_domains(scenario)
 
 
-def test_a_leave_is_acknowledged_by_a_node_without_others(run_domains):
+def test_a_leave_is_acknowledged_by_a_node_without_others(run_fleet_of_domains):
     """A domain that is cut off still confirms within a second."""
 
     async def scenario(fleet):
@@ -159,4 +120,4 @@
         async with asyncio.timeout(1):
             await _leave(fleet)
 
-    run_domains(scenario)
+    run_fleet_of_domains(scenario)
--- a/medlarhoist/consensus/bootstrap.py
+++ b/medlarhoist/consensus/bootstrap.py
@@ -2,8 +2,9 @@
 
 A data folder is empty in a new group, or because the earlier one was lost.
 The group is new only if every peer may found it as well and reports that its
-log has never held an entry. The replica then becomes an initial member, in a term after any in which
-its name may have voted. Otherwise it stays a learner until a leader admits it.
+log has never held an entry. The replica then becomes an initial member, in a
+term after any in which its name may have voted. Otherwise it stays a learner
+until a leader admits it.
 """
 
 from msgspec.structs import replace
--- a/medlarhoist/consensus/log_file.py
+++ b/medlarhoist/consensus/log_file.py
@@ -120,7 +120,7 @@
         Raises:
             OSError: the disk fails otherwise.
         """
-        return self._try(lambda: write_probe(self._folder, self._disk))
+        return self._try(lambda: _write_probe(self._folder, self._disk))
 
     def close(self) -> None:
         """Close the files and release the lock."""
@@ -131,17 +131,13 @@
         self._lock_fd = -1
 
     def _try(self, store: Callable[[], None]) -> Result[None, Fault]:
-        try:  # noqa: WPS229  both fail alike
+        refusal = _find_refusal(self._repair) or _find_refusal(store)
+        if not refusal:
+            return Ok(None)
+        self._is_torn = True
+        with suppress(OSError):
             self._repair()
-            store()
-        except OSError as exc:
-            if exc.errno not in DISK_FULL_ERRNOS:
-                raise
-            self._is_torn = True
-            with suppress(OSError):
-                self._repair()
-            return Err(Fault(source=self._folder, message=str(exc)))
-        return Ok(None)
+        return Err(Fault(source=self._folder, message=refusal))
 
     def _repair(self) -> None:
         """Remove what a failed write has left in the log."""
@@ -236,7 +232,7 @@
     """Args: name of the file, offset in bytes, and what is wrong there."""
 
 
-def write_probe(folder: str, disk: Disk) -> None:
+def _write_probe(folder: str, disk: Disk) -> None:
     """Write, sync and remove a small file.
 
     Raises:
@@ -258,14 +254,9 @@
     Raises:
         OSError: the folder cannot be used for another reason.
     """
-    try:  # noqa: WPS229  both fail alike
-        os.makedirs(folder, mode=0o700, exist_ok=True)
-        write_probe(folder, Disk())
-    except OSError as exc:
-        if exc.errno not in DISK_FULL_ERRNOS:
-            raise
-        return str(exc)
-    return ''
+    return _find_refusal(
+        lambda: os.makedirs(folder, mode=0o700, exist_ok=True),
+    ) or _find_refusal(lambda: _write_probe(folder, Disk()))
 
 
 def open_folder(folder: str, disk: Disk) -> Result[LogFile, Fault]:
@@ -290,6 +281,21 @@
     return Ok(LogFile(folder, disk, lock_fd))
 
 
+def _find_refusal(store: Callable[[], None]) -> str:
+    """Return why a full disk refuses to store something, empty if it doesn't.
+
+    Raises:
+        OSError: the disk fails otherwise.
+    """
+    try:
+        store()
+    except OSError as exc:
+        if exc.errno not in DISK_FULL_ERRNOS:
+            raise
+        return str(exc)
+    return ''
+
+
 def _write_all(disk: Disk, descriptor: int, content: bytes) -> None:
     while content:
         content = content[disk.write(descriptor, content) :]
--- a/medlarhoist/consensus/replacement.py
+++ b/medlarhoist/consensus/replacement.py
@@ -75,8 +75,6 @@
 
 
 Routes = dict[str, Route]
-
-
 _NO_ROUTE: Final = Route('', -inf)
 
 
@@ -92,6 +90,19 @@
     members: dict[str, str]
     standbys: Routes
 
+    def leads_to(self, endpoint: str, name: str) -> bool:
+        """Return whether a slot is reached at an endpoint.
+
+        That is the endpoint of its member, or of the standby that is about to
+        get it.
+
+        Args:
+            endpoint: address of a source.
+            name: name of the member slot.
+        """
+        standby = self.standbys.get(name, _NO_ROUTE)
+        return endpoint in {self.members.get(name), standby.endpoint}
+
 
 class Decision(Struct, frozen=True):
     """What a leader decides on a MembershipRequest.
@@ -190,10 +201,9 @@
     name = request.name
     if replica.voters[name] == request.incarnation:
         return False
-    standby = addresses.standbys.get(name, _NO_ROUTE)
-    if request.endpoint in {addresses.members.get(name), standby.endpoint}:
+    if addresses.leads_to(request.endpoint, name):
         return False
-    is_free = standby is _NO_ROUTE and name in replica.peers
+    is_free = name not in addresses.standbys and name in replica.peers
     if is_free and is_replaceable(replica, name, now):
         return False
     return pending_admission(replica) != name
@@ -211,14 +221,11 @@
     slot again, and so does a standby that the leader did not know of.
     """
     name = request.name
-    known = {addresses.members.get(name)}
-    if name in addresses.standbys:
-        known.add(addresses.standbys[name].endpoint)
     if replica.voters[name] == request.incarnation and request.is_writable:
         others = dict(addresses.standbys)
         others.pop(name, None)
         return others
-    if request.endpoint in known:
+    if addresses.leads_to(request.endpoint, name):
         return addresses.standbys
     return {**addresses.standbys, name: Route(request.endpoint, now)}
 
@@ -249,11 +256,7 @@
     same_endpoint = [
         peer
         for peer in replica.peers
-        if request.endpoint
-        in {
-            addresses.members.get(peer),
-            standbys.get(peer, _NO_ROUTE).endpoint,
-        }
+        if addresses.leads_to(request.endpoint, peer)
     ]
     if same_endpoint:
         return same_endpoint[0]
--- a/medlarhoist/core/digest.py
+++ b/medlarhoist/core/digest.py
@@ -93,8 +93,11 @@
     return digest_next
 
 
-def fingerprint_of(record: Struct) -> str:
-    """Return the digest of a record's encoding, 16 hexadecimal digits."""
+def fingerprint_of(record: Any) -> str:
+    """Return the digest of the encoding of a record or of built-in types.
+
+    It has 16 hexadecimal digits.
+    """
     body = msgpack.encode(record)
     return hashlib.sha256(body).hexdigest()[:DIGEST_HEX_DIGITS]
 
--- a/medlarhoist/core/presence.py
+++ b/medlarhoist/core/presence.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from medlarhoist.core.settings import NodeSettings
 from medlarhoist.core.target import Target, TargetNotice, TargetPhase
@@ -132,13 +133,7 @@
             further notices of the same run are outdated. A target that was
             only unresponsive may return.
     """
-    return Presence(
-        heard_seconds=presence.heard_seconds,
-        since_ms=presence.since_ms,
-        last=presence.last,
-        has_left=has_left,
-        rival=presence.rival,
-    )
+    return replace(presence, notice=None, has_left=has_left)
 
 
 def has_expired(
--- a/medlarhoist/core/withdrawal.py
+++ b/medlarhoist/core/withdrawal.py
@@ -1,4 +1,4 @@
-"""Withdrawal: what runs of targets have said of their leaving.
+"""Withdrawal: the drains and leaves that runs of targets have announced.
 
 A node without a disk forgets with its process that the target beside it has
 left, and a notice that was sent before may still arrive. So the nodes of a
@@ -6,13 +6,13 @@
 domains. A run is one lifetime of a target process.
 """
 
-import hashlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import Annotated, Final
 
 from msgspec import Meta, Struct
 from msgspec.structs import replace
 
+from medlarhoist.core.digest import fingerprint_of
 from medlarhoist.core.spread import pop_unsent
 from medlarhoist.core.target import MAX_MILLISECONDS, MAX_SEQUENCE, TargetNotice
 
@@ -25,7 +25,6 @@
 ALL_NOTICES: Final = MAX_SEQUENCE + 1
 CAPACITY: Final = 2048
 RECORDS_PER_MESSAGE: Final = 64
-DIGEST_HEX_DIGITS: Final = 16
 _MS_PER_SECOND: Final = 1000
 _Name = Annotated[str, Meta(min_length=1, max_length=256)]
 _Key = tuple[str, str]
@@ -42,7 +41,7 @@
             unknown.
         sequence: notices of the run with a lower sequence are outdated;
             `ALL_NOTICES` once it has left.
-        age_ms: milliseconds since it was said.
+        age_ms: milliseconds since it was announced.
     """
 
     domain: _Name
@@ -69,18 +68,18 @@
 
 
 class _Entry:
-    """A record, when it was said, and in how many packets it was sent."""
+    """A record, when it was announced, and the packets it was sent in."""
 
-    __slots__ = ('record', 'said_at', 'sent')
+    __slots__ = ('record', 'stated_at', 'sent')
 
     def __init__(self, record: Withdrawal, now: float) -> None:
         self.record = record
-        self.said_at = now - record.age_ms / _MS_PER_SECOND
+        self.stated_at = now - record.age_ms / _MS_PER_SECOND
         self.sent = 0
 
     def export(self, now: float) -> Withdrawal:
         """Return the record with its present age."""
-        age_ms = max(0, int((now - self.said_at) * _MS_PER_SECOND))
+        age_ms = max(0, int((now - self.stated_at) * _MS_PER_SECOND))
         return replace(self.record, age_ms=age_ms)
 
 
@@ -128,8 +127,10 @@
         """
         if not run_id:
             return
-        said = Withdrawal(self._domain, self._node, run_id, born_ms, sequence)
-        if self._adopt(said, now):
+        announced = Withdrawal(
+            self._domain, self._node, run_id, born_ms, sequence
+        )
+        if self._adopt(announced, now):
             self.on_change()
 
     def find(self, notice: TargetNotice, now: float) -> Withdrawal | None:
@@ -140,13 +141,13 @@
             now: present time.
         """
         entry = self._entries.get((self._node, notice.run_id))
-        if entry is None or now - entry.said_at >= WITHDRAWAL_TTL_S:
+        if entry is None or now - entry.stated_at >= WITHDRAWAL_TTL_S:
             return None
         record = entry.record
         if record.born_ms:
             is_outdated = (notice.born_ms, notice.sequence) < record.order
         else:
-            is_recent = now - entry.said_at < UNKNOWN_START_TTL_S
+            is_recent = now - entry.stated_at < UNKNOWN_START_TTL_S
             is_outdated = is_recent and notice.sequence < record.sequence
         return record if is_outdated else None
 
@@ -169,10 +170,7 @@
             (*entry.record.key, *entry.record.order)
             for entry in self._newest(domain)
         )
-        if not records:
-            return ''
-        digest = hashlib.sha256(repr(records).encode())
-        return digest.hexdigest()[:DIGEST_HEX_DIGITS]
+        return fingerprint_of(records) if records else ''
 
     def has_unsent(self) -> bool:
         """Return whether a record of this domain was not sent to members."""
@@ -194,20 +192,23 @@
     def expire(self, now: float) -> None:
         """Forget withdrawals after `WITHDRAWAL_TTL_S`."""
         for key, entry in tuple(self._entries.items()):
-            if now - entry.said_at >= WITHDRAWAL_TTL_S:
+            if now - entry.stated_at >= WITHDRAWAL_TTL_S:
                 self._entries.pop(key)
 
-    def _entries_of(self, domain: str) -> list[_Entry]:
-        return [
+    def _entries_of(self, domain: str) -> Iterator[_Entry]:
+        return (
             entry
             for entry in self._entries.values()
             if entry.record.domain == domain
-        ]
+        )
 
     def _newest(self, domain: str) -> list[_Entry]:
-        entries = self._entries_of(domain)
-        entries.sort(key=lambda entry: entry.said_at, reverse=True)
-        return entries[:RECORDS_PER_MESSAGE]
+        newest = sorted(
+            self._entries_of(domain),
+            key=lambda entry: entry.stated_at,
+            reverse=True,
+        )
+        return newest[:RECORDS_PER_MESSAGE]
 
     def _adopt(self, record: Withdrawal, now: float) -> bool:
         held = self._entries.get(record.key)
@@ -217,7 +218,7 @@
         self._entries[record.key] = _Entry(record, now)
         if len(self._entries) > CAPACITY:
             oldest = min(
-                self._entries.values(), key=lambda entry: entry.said_at
+                self._entries.values(), key=lambda entry: entry.stated_at
             )
             self._entries.pop(oldest.record.key)
         return True
--- a/medlarhoist/core/withdrawal_test.py
+++ b/medlarhoist/core/withdrawal_test.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from medlarhoist.core.target import TargetNotice, TargetPhase
+from bench.calls_static import create_notice
 from medlarhoist.core.withdrawal import (
     CAPACITY,
     RECORDS_PER_MESSAGE,
@@ -20,21 +20,9 @@
     return Withdrawals(domain, node)
 
 
-def _notice(run_id='i-1', born_ms=BORN_MS, sequence=4):
-    return TargetNotice(
-        service='bookings',
-        label='v1',
-        port=1,
-        slots=1,
-        phase=TargetPhase.READY,
-        run_id=run_id,
-        born_ms=born_ms,
-        sequence=sequence,
-    )
-
-
 def _is_outdated(withdrawals, now=NOW, **fields):
-    return withdrawals.find(_notice(**fields), now) is not None
+    notice = create_notice(**{'sequence': 4, **fields})
+    return withdrawals.find(notice, now) is not None
 
 
 def test_all_notices_of_a_run_that_has_left_are_outdated():
--- a/medlarhoist/node/app.py
+++ b/medlarhoist/node/app.py
@@ -82,7 +82,7 @@
             self._registry,
             membership,
             self._recorder,
-            shared=shared,
+            shared,
         )
         self.target_registration = TargetRegistration(
             cfg,
--- a/medlarhoist/node/distribution.py
+++ b/medlarhoist/node/distribution.py
@@ -15,10 +15,7 @@
 from medlarhoist.core.interfaces import EvidenceSource
 from medlarhoist.core.membership import MembershipState, live_members
 from medlarhoist.core.settings import NodeSettings
-from medlarhoist.core.shared_records import (
-    SharedRecords,
-    create_shared_records,
-)
+from medlarhoist.core.shared_records import SharedRecords
 from medlarhoist.node.configuration import (
     Configuration,
     ConfigurationView,
@@ -176,7 +173,7 @@
         ]
 
     async def replicate_withdrawals(self) -> None:
-        """Let other nodes hold what targets have said of their leaving."""
+        """Let other nodes hold the drains and leaves of targets."""
         await self._withdrawal_exchange.replicate()
 
     async def stop(self) -> None:
@@ -291,8 +288,8 @@
     registry: TargetRegistry,
     membership: MembershipState,
     evidence: EvidenceSource,
+    shared: SharedRecords,
     channels: Channels | None = None,
-    shared: SharedRecords | None = None,
 ) -> Distribution:
     """Create the distribution of a node; its `start` runs it.
 
@@ -302,8 +299,8 @@
         registry: the live targets that it has received.
         membership: its membership state; the registry uses the same object.
         evidence: results of its calls, which are sent up the tree.
+        shared: the records that it holds for other nodes, and exchanges.
         channels: its connections; None creates them from the settings.
-        shared: the records that it exchanges; None starts without any.
     """
     if channels is None:
         channels = create_channels(cfg.shared_key, cfg.name, Traffic())
@@ -314,5 +311,5 @@
         membership,
         evidence,
         channels,
-        shared or create_shared_records(cfg),
+        shared,
     )
--- a/medlarhoist/node/keeper_exchange.py
+++ b/medlarhoist/node/keeper_exchange.py
@@ -149,7 +149,9 @@
             return
         self._record(reply)
         is_summary_wanted = is_wanted(reply.known, request.mark)
-        withdrawals = self._list_missing(reply.withdrawals_digest)
+        withdrawals = self._list_missing(
+            self._cfg.domain, reply.withdrawals_digest
+        )
         if is_summary_wanted or withdrawals:
             full_request = replace(
                 request,
@@ -164,30 +166,24 @@
         self._record(request)
         summary = self._refresh()
         mark = mark_of(summary)
-        digest = self._shared.withdrawals.digest(request.domain)
-        withdrawals: tuple[Withdrawal, ...] = ()
-        if digest != request.withdrawals_digest:
-            withdrawals = self._shared.withdrawals.export(
-                request.domain, monotonic_seconds()
-            )
         reply = Exchange(
             domain=self._cfg.domain,
             mark=mark,
             known=self._registry.marks().get(request.domain, NO_MARK),
             summary=summary if is_wanted(request.known, mark) else None,
             suspicions=self._shared.quarantine.export(monotonic_seconds()),
-            withdrawals_digest=digest,
-            withdrawals=withdrawals,
+            withdrawals_digest=self._shared.withdrawals.digest(request.domain),
+            withdrawals=self._list_missing(
+                request.domain, request.withdrawals_digest
+            ),
         )
         await stream.send_message(reply)
 
-    def _list_missing(self, digest: str) -> tuple[Withdrawal, ...]:
-        """Return what a node with this digest may lack of this domain."""
-        if digest == self._shared.withdrawals.digest(self._cfg.domain):
+    def _list_missing(self, domain: str, digest: str) -> tuple[Withdrawal, ...]:
+        """Return what a node with this digest may lack of a domain."""
+        if digest == self._shared.withdrawals.digest(domain):
             return ()
-        return self._shared.withdrawals.export(
-            self._cfg.domain, monotonic_seconds()
-        )
+        return self._shared.withdrawals.export(domain, monotonic_seconds())
 
     def _refresh(self) -> Summary:
         self._summary = next_summary(
--- a/medlarhoist/node/target_registration.py
+++ b/medlarhoist/node/target_registration.py
@@ -74,8 +74,8 @@
             cfg: settings of the node.
             registry: announces the target to the failure domain.
             set_target: updates the proxy to a notice, None for no target.
-            withdrawals: what runs have said of their leaving, as this node
-                and others have received it.
+            withdrawals: the drains and leaves of runs, as this node and
+                others have received them.
             replicate: sends the withdrawals to other nodes; returns when they
                 hold them, or after a short while.
         """
--- a/medlarhoist/node/target_registration_test.py
+++ b/medlarhoist/node/target_registration_test.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 from msgspec.structs import replace
 
-from bench.calls_static import create_settings
+from bench.calls_static import create_notice, create_settings
 from medlarhoist.core.target import TargetNotice, TargetPhase
 from medlarhoist.core.withdrawal import Withdrawals
 from medlarhoist.node.gossip import create_membership
@@ -16,18 +16,7 @@
 )
 from medlarhoist.utils.clock import monotonic_seconds
 
-NOTICE = TargetNotice(
-    service='bookings',
-    label='v1',
-    port=1,
-    slots=1,
-    phase=TargetPhase.READY,
-    run_id='i-1',
-    born_ms=5,
-    sequence=1,
-)
-
-
+NOTICE = create_notice()
 HEARTBEAT_MS = 1000
 # As a node has it that has played for a while.
 NOW_MS = 1_800_000_000_000
--- a/medlarhoist/platform/announcement.py
+++ b/medlarhoist/platform/announcement.py
@@ -6,17 +6,19 @@
 knows of its instance is compared in core.notice_check.
 """
 
-from typing import Annotated, Any
+from typing import Annotated, Any, Final
 
 from msgspec import Meta, Struct, ValidationError, convert, field, json
 from result import Err, Ok, Result
 
 from medlarhoist.core.notice_check import show
 from medlarhoist.core.target import MAX_MILLISECONDS, TargetNotice
+from medlarhoist.core.whole_number import parse_whole_number
 from medlarhoist.platform.names import TARGET_PHASES
 from medlarhoist.utils.web import JSON_ERRORS
 
-MAX_COLD_S = 1_000_000_000
+MAX_COLD_S: Final = 1_000_000_000
+MAX_PORT_DIGITS: Final = 5
 
 
 class _Heartbeat(Struct, kw_only=True):
@@ -49,7 +51,7 @@
 def read_heartbeat(
     run_id: str,
     body: bytes,
-    domain: str = '',
+    domain: str,
 ) -> Result[TargetNotice, str]:
     """Decode a heartbeat.
 
@@ -57,8 +59,7 @@
         run_id: id of this run of the instance (one lifetime of its process),
             from the path.
         body: JSON.
-        domain: failure domain of this node, which the heartbeat has to name;
-            empty for any.
+        domain: failure domain of this node, which the heartbeat has to name.
 
     Returns:
         The notice, or a message of bounded length that names the invalid
@@ -71,10 +72,11 @@
     phase = TARGET_PHASES.get(heartbeat.phase)
     if phase is None:
         return Err(f'heartbeat: state: {show(heartbeat.phase)} is unknown')
-    if domain and heartbeat.domain != domain:
+    if heartbeat.domain != domain:
         return Err(f'heartbeat: zone: {show(heartbeat.domain)} is another one')
-    host, _, port = heartbeat.address.rpartition(':')
-    if not port.isascii() or not port.isdigit() or len(port) > len('65535'):
+    host, _, digits = heartbeat.address.rpartition(':')
+    port = parse_whole_number(digits, MAX_PORT_DIGITS)
+    if port is None:
         return Err(
             f'heartbeat: address: {show(heartbeat.address)} is not host:port'
         )
@@ -82,7 +84,7 @@
         'service': heartbeat.service,
         'label': heartbeat.label,
         'host': host,
-        'port': int(port),
+        'port': port,
         'slots': heartbeat.slots,
         'phase': phase,
         'run_id': run_id,
--- a/medlarhoist/platform/announcement_test.py
+++ b/medlarhoist/platform/announcement_test.py
@@ -151,7 +151,7 @@
     body = json.dumps(heartbeat).encode()
     nested = b'{"new":%b' % (b'[' * 100_000)
     for malformed in (b'', b'\xff%b' % body, body[:-1], b'[]', b'{}', nested):
-        assert isinstance(read_heartbeat('i-1', malformed), Err)
+        assert isinstance(read_heartbeat('i-1', malformed, DOMAIN), Err)
 
 
 @pytest.mark.parametrize(
--- a/medlarhoist/source/api.py
+++ b/medlarhoist/source/api.py
@@ -32,6 +32,7 @@
 from medlarhoist.core.settings import SourceSettings
 from medlarhoist.core.snapshot import SCHEMA
 from medlarhoist.core.verdict import Verdict
+from medlarhoist.core.whole_number import parse_whole_number
 from medlarhoist.source.api_auth import find_operator
 from medlarhoist.source.api_input import read_body
 from medlarhoist.source.api_read import (
@@ -223,9 +224,12 @@
 
     async def _get_events(self, request: WebRequest, rest: str) -> WebResponse:
         newest = str(self._ledger.state.events.last)
-        since = _parse_number(request.query.get('since', newest))
-        wait_ms = _parse_number(
+        since = parse_whole_number(
+            request.query.get('since', newest), MAX_NUMBER_DIGITS
+        )
+        wait_ms = parse_whole_number(
             request.query.get('wait_ms', str(DEFAULT_WATCH_WAIT_MS)),
+            MAX_NUMBER_DIGITS,
         )
         if since is None or wait_ms is None:
             return _problem(400, 'since and wait_ms: whole numbers from 0 up')
@@ -295,13 +299,6 @@
     return create_site(host, CHANNEL, cfg.endpoint.api, api.respond, api.close)
 
 
-def _parse_number(text: str) -> int | None:
-    """Return a whole number of limited length, None for any other text."""
-    if text.isascii() and text.isdigit() and len(text) <= MAX_NUMBER_DIGITS:
-        return int(text)
-    return None
-
-
 def _json_response(record: Any, status: int = 200) -> WebResponse:
     return WebResponse(status=status, body=json.encode(record))
 
--- a/medlarhoist/source/conftest.py
+++ b/medlarhoist/source/conftest.py
@@ -11,6 +11,7 @@
 from random import Random
 
 import pytest
+from msgspec.structs import replace
 
 from medlarhoist.consensus.log import entries_between
 from medlarhoist.consensus.log_file import Disk, open_folder
@@ -129,13 +130,16 @@
             self.world.now,
             self.world.random.random,
         )
-        self.replica = self.world.prepare(replica, self)
+        self.replica = replace(
+            replica,
+            endpoint=self.endpoint,
+            may_found=self.identity.may_found,
+        )
 
     def addresses(self):
-        members = {peer.name: peer.name for peer in self.identity.sources}
         members = {
-            name: self.world.address(peer)
-            for name, peer in zip(members, self.identity.sources, strict=True)
+            peer.name: f'm{peer.control.rpartition(":")[2]}'
+            for peer in self.identity.sources
         }
         members[self.identity.name] = self.endpoint
         members.update(self.replica.endpoints)
@@ -225,11 +229,10 @@
 
     def take(self, name, leader):
         members = {**leader.addresses().members, name: self.endpoint}
-        peers = [
-            Peer(name=slot, control=peer.control, api=peer.api)
+        peers = (
+            replace(_peer(int(endpoint[1:])), name=slot)
             for slot, endpoint in members.items()
-            for peer in (_peer(int(endpoint[1:])),)
-        ]
+        )
         identity = Identity(name=name, sources=tuple(peers))
         write_identity(str(self.folder), identity)
 
@@ -250,20 +253,6 @@
             for number in range(1, machines + 1)
         }
 
-    def prepare(self, replica, machine):
-        return type(replica)(
-            **{
-                field: getattr(replica, field)
-                for field in replica.__struct_fields__
-                if field not in {'endpoint', 'may_found'}
-            },
-            endpoint=machine.endpoint,
-            may_found=machine.identity.may_found,
-        )
-
-    def address(self, peer):
-        return f'm{peer.control.rpartition(":")[2]}'
-
     def is_connected(self, left, right):
         machines = (left, right)
         return all(one.is_up and not one.is_cut for one in machines)
@@ -343,6 +332,22 @@
         assert sorted(members) == ['m1', 'm2', 'm3']
 
 
+@pytest.fixture
+def founder(tmp_path):
+    """Return the settings of a source that founds a group by itself."""
+    address = '127.0.0.1:1'
+    endpoint = Peer(name='s1', control=address, api=address)
+    return SourceSettings(
+        name='s1',
+        domain='a',
+        admin='127.0.0.1:0',
+        shared_key='a shared key for tests',
+        sources=(endpoint,),
+        data_folder=str(tmp_path / 'data'),
+        operators=(),
+    )
+
+
 @pytest.fixture(name='create_world')
 def _create_world(tmp_path, monkeypatch):
     """Return a function that creates a world whose group is founded."""
--- a/medlarhoist/source/ledger_driver.py
+++ b/medlarhoist/source/ledger_driver.py
@@ -15,10 +15,7 @@
 
 from medlarhoist.consensus.log_file import Disk, open_folder
 from medlarhoist.consensus.message import Event, Message, Resign, Tick
-from medlarhoist.consensus.replacement import (
-    Routes,
-    report_unwritable,
-)
+from medlarhoist.consensus.replacement import Routes, report_unwritable
 from medlarhoist.consensus.replica import Replica, Role, create_replica
 from medlarhoist.consensus.step import Step, step
 from medlarhoist.core.resource import Fault
@@ -53,10 +50,10 @@
     __slots__ = (
         '_cfg',
         '_disk',
+        '_halted_by',
         '_links',
         '_on_halted',
         '_on_stepped',
-        '_halted_by',
         '_storage',
         '_task',
         'replica',
@@ -147,7 +144,9 @@
         """
         if self.replica is None or standbys == self.standbys:
             return
-        logger.bind(standbys=sorted(standbys)).info('ledger: slots on offer')
+        logger.bind(standbys=sorted(standbys)).info(
+            'ledger: member slots offered to standbys'
+        )
         self.standbys = dict(standbys)
         self._update_links(self.replica)
 
--- a/medlarhoist/source/ledger_storage.py
+++ b/medlarhoist/source/ledger_storage.py
@@ -1,4 +1,4 @@
-"""Ledger storage: the data folder of a replica, which may be full for a while."""
+"""Ledger storage: the data folder of a replica, whose disk may be full."""
 
 import time
 from collections.abc import Callable
--- a/medlarhoist/source/serve.py
+++ b/medlarhoist/source/serve.py
@@ -35,7 +35,7 @@
 EXIT_STORAGE_DAMAGED: Final = 4
 RETRY_SECONDS: Final = 0.5
 
-Result = TypeVar('Result')
+Awaited = TypeVar('Awaited')
 CreateStandbySites = Callable[[Host, Standby], tuple[Site, ...]]
 Reread = Callable[[], SourceSettings | None]
 
@@ -176,14 +176,14 @@
     sites: Sites,
     standby: Standby,
     stop_requested: asyncio.Event,
-    wait: Callable[[], Awaitable[Result]],
-) -> Result | None:
+    wait: Callable[[], Awaitable[Awaited]],
+) -> Awaited | None:
     """Serve as a standby during a wait.
 
     Returns:
         The result of the wait, None if the process shall stop before.
     """
-    results: list[Result] = []
+    results: list[Awaited] = []
 
     async def keep_result() -> None:  # noqa: WPS430  closure over results
         results.append(await wait())
--- a/medlarhoist/source/serve_test.py
+++ b/medlarhoist/source/serve_test.py
@@ -5,29 +5,12 @@
 
 import pytest
 
-from medlarhoist.core.settings import Peer, SourceSettings
 from medlarhoist.source import serve, standby
 from medlarhoist.source.standby import create_standby
 
-ADDRESS = '127.0.0.1:1'
-
-
-@pytest.fixture(name='cfg')
-def _cfg(tmp_path):
-    endpoint = Peer(name='s1', control=ADDRESS, api=ADDRESS)
-    return SourceSettings(
-        name='s1',
-        domain='a',
-        admin='127.0.0.1:0',
-        shared_key='a shared key for tests',
-        sources=(endpoint,),
-        data_folder=str(tmp_path),
-        operators=(),
-    )
-
 
 @pytest.fixture(name='run_source')
-def _run_source(cfg, monkeypatch):
+def _run_source(founder, monkeypatch):
     """Return a function that runs a source whose starts fail in turn.
 
     It returns the exit code. A start without an error stops the process.
@@ -44,7 +27,7 @@
             stop_requested.set()
 
         monkeypatch.setattr(serve, '_serve_once', serve_once)
-        return asyncio.run(serve.serve_source(cfg))
+        return asyncio.run(serve.serve_source(founder))
 
     return run
 
@@ -71,7 +54,7 @@
     assert not faults
 
 
-def test_a_standby_with_a_full_disk_asks_for_no_slot(cfg, monkeypatch):
+def test_a_standby_with_a_full_disk_asks_for_no_slot(founder, monkeypatch):
     monkeypatch.setattr(standby, 'find_full_disk', lambda folder: 'no space')
     asked = []
 
@@ -81,7 +64,7 @@
     monkeypatch.setattr(standby, 'request_membership', ask)
 
     async def scenario():
-        waiting = create_standby(cfg)
+        waiting = create_standby(founder)
         with pytest.raises(TimeoutError):
             async with asyncio.timeout(1):
                 await waiting.wait_for_member_slot()
--- a/medlarhoist/source/standby_test.py
+++ b/medlarhoist/source/standby_test.py
@@ -3,10 +3,11 @@
 import asyncio
 import errno
 import os
+from pathlib import Path
 
 import pytest
 
-from medlarhoist.core.settings import Peer, SourceSettings
+from medlarhoist.core.settings import Peer
 from medlarhoist.source.identity import (
     RETIRED_NAME,
     Identity,
@@ -136,48 +137,35 @@
     asyncio.run(scenario())
 
 
-def _founder(folder):
-    endpoint = Peer(name='s1', control='127.0.0.1:1', api='127.0.0.1:2')
-    return SourceSettings(
-        name='s1',
-        domain='a',
-        admin='127.0.0.1:1',
-        shared_key='a shared key for tests',
-        sources=(endpoint,),
-        data_folder=str(folder),
-        operators=(),
+def test_an_identity_is_kept_until_the_folder_is_retired(founder):
+    folder = Path(founder.data_folder)
+    identity = find_identity(founder).ok_value
+    assert identity == Identity(
+        name='s1', sources=founder.sources, may_found=True
     )
-
-
-def test_an_identity_is_kept_until_the_folder_is_retired(tmp_path):
-    folder = tmp_path / 'data'
-    cfg = _founder(folder)
-    identity = find_identity(cfg).ok_value
-    assert identity == Identity(name='s1', sources=cfg.sources, may_found=True)
     (folder / 'log').write_bytes(b'x')
-    assert find_identity(cfg).ok_value == identity
-    retire_folder(cfg.data_folder)
+    assert find_identity(founder).ok_value == identity
+    retire_folder(founder.data_folder)
     assert [path.name for path in folder.iterdir()] == [RETIRED_NAME]
 
 
-def test_a_retired_source_does_not_found_again(tmp_path):
+def test_a_retired_source_does_not_found_again(founder):
     """It took part under a name that belonged to another, with no log."""
-    cfg = _founder(tmp_path)
-    find_identity(cfg)
-    retire_folder(cfg.data_folder)
-    assert find_identity(cfg).ok_value is None
-    assigned = Identity(name='s2', sources=cfg.sources)
-    write_identity(cfg.data_folder, assigned)
-    assert find_identity(cfg).ok_value == assigned
-    retire_folder(cfg.data_folder)
-    assert find_identity(cfg).ok_value is None
-
-
-def test_an_interrupted_wipe_is_completed(tmp_path, monkeypatch):
-    cfg = _founder(tmp_path)
-    find_identity(cfg)
+    find_identity(founder)
+    retire_folder(founder.data_folder)
+    assert find_identity(founder).ok_value is None
+    assigned = Identity(name='s2', sources=founder.sources)
+    write_identity(founder.data_folder, assigned)
+    assert find_identity(founder).ok_value == assigned
+    retire_folder(founder.data_folder)
+    assert find_identity(founder).ok_value is None
+
+
+def test_an_interrupted_wipe_is_completed(founder, monkeypatch):
+    folder = Path(founder.data_folder)
+    find_identity(founder)
     for name in ('hard', 'log', 'snapshot'):
-        (tmp_path / name).write_bytes(b'x')
+        (folder / name).write_bytes(b'x')
     removed = []
 
     def remove(path):
@@ -189,9 +177,9 @@
     with monkeypatch.context() as patch:
         patch.setattr('os.remove', remove)
         with pytest.raises(OSError, match='the disk fails'):
-            retire_folder(cfg.data_folder)
-    assert find_identity(cfg).ok_value is None
-    assert [path.name for path in tmp_path.iterdir()] == [RETIRED_NAME]
+            retire_folder(founder.data_folder)
+    assert find_identity(founder).ok_value is None
+    assert [path.name for path in folder.iterdir()] == [RETIRED_NAME]
 
 
 def test_a_damaged_identity_is_a_fault(tmp_path):
--- a/medlarhoist/wire/auth.py
+++ b/medlarhoist/wire/auth.py
@@ -8,6 +8,8 @@
 import hmac
 from typing import Final
 
+from medlarhoist.core.whole_number import parse_whole_number
+
 METADATA_KEY: Final = 'x-medlarhoist-token'
 MAX_STAMP_DIGITS: Final = 15
 TOKEN_LIFETIME_SECONDS: Final = 300
@@ -47,10 +49,8 @@
     """
     claim, _, digest = token.rpartition(':')
     _, _, stamp = claim.rpartition(':')
-    is_number = stamp.isascii() and stamp.isdigit()
-    if not is_number or len(stamp) > MAX_STAMP_DIGITS:
-        return False
-    if abs(now - int(stamp)) > TOKEN_LIFETIME_SECONDS:
+    made_at = parse_whole_number(stamp, MAX_STAMP_DIGITS)
+    if made_at is None or abs(now - made_at) > TOKEN_LIFETIME_SECONDS:
         return False
     expected = sign(key, claim.encode()).hex()
     return hmac.compare_digest(expected.encode(), digest.encode())
