Measure how late versions come into force at each node

No metric and no line of a log told which node had a version how long after its acceptance, nor what it waited for, so the hypotheses of the incident could not be told apart.

Activated and Established say how long ago the version was accepted; no clocks have to agree. Heartbeats have a module of their own. What is decided stays as it is.

--- a/medlarhoist/node/configuration.py
+++ b/medlarhoist/node/configuration.py
@@ -14,6 +14,7 @@
 from loguru import logger
 from msgspec import Struct
 
+from medlarhoist.core.acceptance import AcceptanceTimes
 from medlarhoist.core.compile import Compiled, create_incremental_compiler
 from medlarhoist.core.delta import apply_changes
 from medlarhoist.core.digest import create_incremental_digest
@@ -66,6 +67,7 @@
     """The configuration versions of one node.
 
     Args:
+        acceptance: when the newest versions were accepted.
         active: the compiled version in force, None for none.
         established: the highest version that is established and compiled
             here.
@@ -79,6 +81,7 @@
         '_digest',
         '_listeners',
         '_refused',
+        'acceptance',
         'active',
         'established',
         'floor',
@@ -91,6 +94,7 @@
         self._listeners: list[Callable[[Compiled], None]] = []
         self._compiled: dict[int, Compiled] = {}
         self._refused: dict[int, tuple[Fault, ...]] = {}
+        self.acceptance = AcceptanceTimes()
         self.active: Compiled | None = None
         self.floor: int | None = None
         self.established = EMPTY_SNAPSHOT.version
--- a/medlarhoist/node/distribution.py
+++ b/medlarhoist/node/distribution.py
@@ -8,7 +8,6 @@
 
 import asyncio
 from random import Random
-from typing import Final
 
 from msgspec import Struct
 
@@ -24,10 +23,12 @@
 from medlarhoist.node.downlink import Downlink
 from medlarhoist.node.floor_client import await_floor
 from medlarhoist.node.gossip import Gossip, GossipView
+from medlarhoist.node.heartbeat import Heartbeat
 from medlarhoist.node.join import Directory
 from medlarhoist.node.keeper import Keeper, KeeperView
 from medlarhoist.node.keeper_exchange import KeeperExchange
 from medlarhoist.node.keeper_loop import KeeperLoop
+from medlarhoist.node.lag_monitor import LagView, create_lag_monitor
 from medlarhoist.node.registry import TargetRegistry
 from medlarhoist.node.uplink import Uplink, UplinkView
 from medlarhoist.node.uplink_receiver import Receiver
@@ -35,15 +36,8 @@
 from medlarhoist.utils.tasks import cancel_all
 from medlarhoist.utils.traffic import Traffic, TrafficView
 from medlarhoist.wire.channels import Channels, create_channels
-from medlarhoist.wire.message import Ages, Established
 from medlarhoist.wire.rpc import Method, StreamHandler
 
-# Children leave a parent that sends nothing for more than two of them.
-HEARTBEAT_SECONDS: Final = 0.5
-# Keepers send the ages of summaries with every tenth heartbeat.
-HEARTBEATS_PER_AGES: Final = 10
-MS_PER_SECOND: Final = 1000
-
 
 class DistributionView(Struct, frozen=True, kw_only=True):
     """State of the distribution in a dump.
@@ -56,6 +50,7 @@
         children: names of the attached children.
         summaries: number of targets in the summary of each other domain.
         traffic: control bytes sent and received.
+        lag: how late versions came into force.
         waiting_for: what is missing before a version can be in force, empty
             once one is.
     """
@@ -67,6 +62,7 @@
     children: tuple[str, ...]
     summaries: dict[str, int]
     traffic: TrafficView
+    lag: LagView
     waiting_for: str
 
 
@@ -84,8 +80,10 @@
         '_downlink',
         '_exchange',
         '_gossip',
+        '_heartbeat',
         '_keeper',
         '_keeper_loop',
+        '_lag_monitor',
         '_membership',
         '_random',
         '_receiver',
@@ -120,6 +118,9 @@
         self.directory = directory
         self._downlink = downlink
         self._gossip = Gossip(cfg, membership, channels, random, shared)
+        self._heartbeat = Heartbeat(
+            cfg, directory, downlink, self._gossip, keeper, receiver, registry
+        )
         self._withdrawal_exchange = WithdrawalExchange(
             cfg, channels, directory, membership, random, shared
         )
@@ -140,6 +141,9 @@
         self._uplink = Uplink(
             cfg, channels, directory, keeper, receiver, random
         )
+        self._lag_monitor = create_lag_monitor(
+            configuration, self._uplink, receiver
+        )
         self._exchange = KeeperExchange(
             cfg, channels, directory, keeper, registry, random, shared
         )
@@ -169,7 +173,7 @@
         self._exchange.start()
         self._tasks = [
             asyncio.ensure_future(self._read_floor()),
-            asyncio.ensure_future(self._send_heartbeats()),
+            asyncio.ensure_future(self._heartbeat.send_all()),
         ]
 
     async def replicate_withdrawals(self) -> None:
@@ -199,6 +203,7 @@
                 summary.domain: len(summary.targets) for summary in summaries
             },
             traffic=self._channels.traffic.view(),
+            lag=self._lag_monitor.view(),
             waiting_for=self._waiting_for(),
         )
 
@@ -220,7 +225,7 @@
         }
 
     def _send_established(self, version: int) -> None:
-        self._downlink.send_established(version)
+        self._downlink.send_established()
         self._uplink.mark_changed()
 
     def _waiting_for(self) -> str:
@@ -244,43 +249,6 @@
         self._configuration.set_floor(floor)
         self._uplink.mark_changed()
 
-    async def _send_heartbeats(self) -> None:
-        heartbeats = 0
-        while True:
-            await asyncio.sleep(HEARTBEAT_SECONDS)
-            heartbeats += 1
-            self._registry.confirm_summaries({})
-            if self._keeper.is_keeper and not heartbeats % HEARTBEATS_PER_AGES:
-                ages = Ages(ages_ms=self._registry.ages_ms())
-                self._downlink.broadcast(ages)
-            self._adopt_keeper_set()
-            keepers = self.directory.domain_keepers
-            self._downlink.broadcast(
-                Established(
-                    version=self._configuration.established,
-                    epoch=keepers.epoch if keepers else 0,
-                    age_ms=int(
-                        self._receiver.seconds_since_leader() * MS_PER_SECOND
-                    ),
-                )
-            )
-            if not self._gossip.view().alive > 1 and keepers:
-                await self._gossip.sync(self._other_keepers())
-
-    def _adopt_keeper_set(self) -> None:
-        keepers = self._keeper.state.keepers
-        if keepers is not None:
-            self.directory.adopt((keepers,))
-
-    def _other_keepers(self) -> list[str]:
-        keepers = self.directory.domain_keepers
-        members = keepers.members if keepers else {}
-        return [
-            address
-            for name, address in members.items()
-            if name != self._cfg.name
-        ]
-
 
 def create_distribution(
     cfg: NodeSettings,
--- a/medlarhoist/node/downlink.py
+++ b/medlarhoist/node/downlink.py
@@ -5,6 +5,7 @@
 child. Any other node may only have children of higher rank.
 """
 
+import time
 from collections.abc import Callable
 from random import Random
 from typing import Any, Final
@@ -12,6 +13,7 @@
 from loguru import logger
 
 from medlarhoist.core.evidence import EvidenceRow
+from medlarhoist.core.floor import epoch_of
 from medlarhoist.core.settings import NodeSettings
 from medlarhoist.core.tree import choose_redirect, may_admit, rank_of
 from medlarhoist.node.configuration import Configuration
@@ -94,9 +96,14 @@
         for session in self.sessions.values():
             self._offer(session, version)
 
-    def send_established(self, version: int) -> None:
-        """Announce to every child that a version is established."""
-        self.broadcast(Established(version=version, epoch=self._epoch()))
+    def send_established(self, age_ms: int = 0) -> None:
+        """Announce the established version to every child.
+
+        Args:
+            age_ms: time since the last contact with the leader of the
+                sources, in milliseconds.
+        """
+        self.broadcast(self._established(age_ms))
 
     def broadcast(self, message: DownMessage) -> None:
         """Send a message to every child."""
@@ -165,7 +172,7 @@
         established = self._configuration.established
         if session.delta_base.version < established:
             self._offer(session, established)
-        session.send(Established(version=established, epoch=self._epoch()))
+        session.send(self._established())
         staged = self._configuration.staged
         if staged:
             self._offer(session, staged)
@@ -193,9 +200,15 @@
         if stage is not None:
             session.send_stage(stage, history.digest(version))
 
-    def _epoch(self) -> int:
-        keepers = self._directory.domain_keepers
-        return keepers.epoch if keepers else 0
+    def _established(self, age_ms: int = 0) -> Established:
+        version = self._configuration.established
+        acceptance = self._configuration.acceptance
+        return Established(
+            version=version,
+            epoch=epoch_of(self._directory.domain_keepers),
+            age_ms=age_ms,
+            since_ms=acceptance.ms_since(version, time.monotonic()),
+        )
 
 
 def _ignore() -> None:
--- a/medlarhoist/node/metrics.py
+++ b/medlarhoist/node/metrics.py
@@ -5,6 +5,7 @@
 
 from medlarhoist.core.latency import Latencies
 from medlarhoist.node.distribution import DistributionView
+from medlarhoist.node.lag_monitor import LagView
 from medlarhoist.node.proxy.proxy import ProxyDump
 from medlarhoist.node.recorder import Totals
 from medlarhoist.utils.metrics import Family, Metric, Sample
@@ -19,6 +20,16 @@
     name='node_keeper_version',
     doc='Newest active version that this node holds as a keeper.',
 )
+LAG_BUCKET: Final = Metric(
+    name='configuration_lag_within_total',
+    doc='Versions in force here within `le` seconds of acceptance; cumulative.',
+    family=Family.COUNTER,
+)
+LAG_SUM: Final = Metric(
+    name='configuration_lag_seconds_total',
+    doc='Time from acceptance until versions were in force here, together.',
+    family=Family.COUNTER,
+)
 CALLS: Final = Metric(
     name='calls_total',
     doc='Calls by service, route, target version and result.',
@@ -98,6 +109,8 @@
 NODE_METRICS: Final = (
     CONFIGURATION_VERSION,
     KEEPER_VERSION,
+    LAG_BUCKET,
+    LAG_SUM,
     CALLS,
     LATENCY_BUCKET,
     LATENCY_SUM,
@@ -137,6 +150,7 @@
     active = distribution.configuration.active or 0
     yield Sample(metric=CONFIGURATION_VERSION, number=active)
     yield Sample(metric=KEEPER_VERSION, number=distribution.keeper.held)
+    yield from _list_lags(distribution.lag)
     gossip = distribution.gossip
     for state, count in (
         ('alive', gossip.alive),
@@ -157,6 +171,13 @@
         yield from _list_latencies(service, service_latencies)
 
 
+def _list_lags(lag: LagView) -> Iterator[Sample]:
+    for bound, count in lag.within.items():
+        labels = {'le': bound}
+        yield Sample(metric=LAG_BUCKET, number=count, labels=labels)
+    yield Sample(metric=LAG_SUM, number=lag.total_seconds)
+
+
 def _list_proxy(proxy: ProxyDump) -> Iterator[Sample]:
     for metric, number in (
         (CALL_RETRIES, proxy.retries),
--- a/medlarhoist/node/metrics_test.py
+++ b/medlarhoist/node/metrics_test.py
@@ -41,6 +41,7 @@
         'sent': [{'kind': 'Hello', 'messages': 2, 'octets': 90}],
         'received': [],
     },
+    'lag': {'within': {'1': 4, '+Inf': 5}, 'total_seconds': 2.5},
     'waiting_for': '',
 }
 PROXY = ProxyDump(
@@ -82,6 +83,8 @@
     )
     rendered = metrics.render().decode()
     assert 'medlarhoist_node_configuration_version 7' in rendered
+    assert 'configuration_lag_within_total{le="1"} 4' in rendered
+    assert 'configuration_lag_seconds_total 2.5' in rendered
     assert 'medlarhoist_slots_used 3' in rendered
     assert 'medlarhoist_target_rate_limit 12.5' in rendered
     assert 'medlarhoist_connections{listener="peer"} 5' in rendered
--- a/medlarhoist/node/uplink.py
+++ b/medlarhoist/node/uplink.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import Callable
 from random import Random
 from typing import Any, Final
@@ -51,10 +52,12 @@
     Args:
         parent: control address of the parent, empty while not attached.
         attempts: attempts to attach in a row that failed or did not last.
+        attached_seconds: time since it was attached, zero while it is not.
     """
 
     parent: str
     attempts: int
+    attached_seconds: float = 0
 
 
 class Uplink:
@@ -68,6 +71,7 @@
 
     __slots__ = (
         '_addresses',
+        '_attached_at',
         '_cfg',
         '_channels',
         '_directory',
@@ -95,6 +99,7 @@
     ) -> None:
         """Create the uplink; `start` attaches it."""
         self._addresses: Addresses = dict
+        self._attached_at: float = 0
         self._is_parent_source = False
         self._cfg = cfg
         self._channels = channels
@@ -133,7 +138,12 @@
 
     def view(self) -> UplinkView:
         """Return the state for a dump."""
-        return UplinkView(parent=self.parent, attempts=self.attempts)
+        attached_s = time.monotonic() - self._attached_at
+        return UplinkView(
+            parent=self.parent,
+            attempts=self.attempts,
+            attached_seconds=round(attached_s, 2) if self.parent else 0,
+        )
 
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
@@ -252,6 +262,7 @@
             if not self.parent:
                 logger.info('tree: attached to {}', address)
                 self._record_leader(address)
+                self._attached_at = time.monotonic()
             self.parent = address
             silence_s = (
                 SOURCE_SILENCE_SECONDS
--- a/medlarhoist/node/uplink_receiver.py
+++ b/medlarhoist/node/uplink_receiver.py
@@ -107,6 +107,7 @@
             return self._establish(message)
         if isinstance(message, Activated):
             self._leader_contact_at = time.monotonic()
+            self._record_acceptance(message)
             return not self._keeper.activate(message.version, message.epoch)
         if isinstance(message, Abandoned):
             self._configuration.abandon(message.version)
@@ -222,6 +223,11 @@
             ready=self._keeper.ready,
         )
 
+    def _record_acceptance(self, message: Activated | Established) -> None:
+        self._configuration.acceptance.record(
+            message.version, message.since_ms, time.monotonic()
+        )
+
     def _evaluate_parent(self, message: Established) -> None:
         now = time.monotonic()
         contact_at = now - message.age_ms / MS_PER_SECOND
@@ -246,6 +252,7 @@
 
     def _establish(self, message: Established) -> bool:
         self._evaluate_parent(message)
+        self._record_acceptance(message)
         before = self._configuration.established
         if not self._configuration.establish(message.version):
             return True
--- a/medlarhoist/source/distributor_children.py
+++ b/medlarhoist/source/distributor_children.py
@@ -11,6 +11,7 @@
 
 from loguru import logger
 
+from medlarhoist.core.acceptance import AcceptanceTimes
 from medlarhoist.core.evidence import EvidenceRow
 from medlarhoist.core.floor import epoch_of
 from medlarhoist.core.interfaces import Ledger
@@ -42,6 +43,7 @@
     """The sessions of the attached keepers, and what was sent to them."""
 
     __slots__ = (
+        '_acceptance',
         '_assigner',
         '_attachment_times',
         '_epochs',
@@ -73,6 +75,7 @@
             leader: returns the control address of the leader, empty if it is
                 unknown.
         """
+        self._acceptance = AcceptanceTimes()
         self._assigner = assigner
         self._epochs: dict[str, int] = {}
         self._history = SnapshotHistory()
@@ -100,6 +103,8 @@
         current = (active, staged.version if staged else 0)
         before = self._published
         self._published = current
+        if before[0] != active:
+            self._acceptance.record(active, 0, time.monotonic())
         for session in self._sessions.values():
             if before[1] not in {0, active, current[1]}:
                 session.send(Abandoned(version=before[1]))
@@ -247,4 +252,7 @@
         return Activated(
             version=state.active.version,
             epoch=epoch_of(keepers),
+            since_ms=self._acceptance.ms_since(
+                state.active.version, time.monotonic()
+            ),
         )
--- a/medlarhoist/wire/message.py
+++ b/medlarhoist/wire/message.py
@@ -124,11 +124,13 @@
         epoch: epoch of the domain's keeper set that the parent holds.
         age_ms: time since the last contact with the leader of the sources,
             through all parents up to it, in milliseconds.
+        since_ms: time since the version was accepted, in milliseconds.
     """
 
     version: int
     epoch: int
     age_ms: int = 0
+    since_ms: int = 0
 
 
 class Activated(Struct, frozen=True, kw_only=True, tag='activated'):
@@ -140,10 +142,12 @@
     Args:
         version: the version.
         epoch: epoch of the keeper set of the receiver's domain.
+        since_ms: time since this leader found it active, in milliseconds.
     """
 
     version: int
     epoch: int
+    since_ms: int = 0
 
 
 class Abandoned(Struct, frozen=True, kw_only=True, tag='abandoned'):
