--- /dev/null
+++ b/bench/outdated_node_test.py
@@ -0,0 +1,149 @@
+"""Tests that a node does not stay at an older version while others go on.
+
+The tree may fail a node in many ways; each of these nodes is still in touch
+with other members of its domain.
+"""
+
+import asyncio
+import time
+
+import pytest
+
+from bench.distribution_fleet import Fleet, run_fleet, wait_until
+from medlarhoist.core.tree import rank_of
+from medlarhoist.node.downlink import Downlink
+from medlarhoist.wire.message import Redirect
+
+# Time in which a version that is accepted must be in force.
+APPLY_SECONDS = 2.0
+NODES = 7
+KEEPERS = 3
+
+
+@pytest.fixture(name='refused')
+def _refused(monkeypatch):
+    """Return a set of names; no node admits these as children."""
+    refused = set()
+    admit = Downlink._open
+
+    def open_session(downlink, session):
+        if session.name in refused:
+            session.send(Redirect(address='', reason='not admitted'))
+            return False
+        return admit(downlink, session)
+
+    monkeypatch.setattr(Downlink, '_open', open_session)
+    return refused
+
+
+def _run(scenario):
+    fleet = Fleet(sources=1, keepers=KEEPERS)
+    for number in range(NODES):
+        fleet.add_node('a', number)
+
+    async def main(running):
+        await running.wait_until_in_force(0)
+        await wait_until(lambda: len(_keepers(running)) == KEEPERS)
+        await running.activate(1)
+        await running.wait_until_in_force(1)
+        await wait_until(lambda: _has_members(running))
+        await scenario(running)
+
+    asyncio.run(run_fleet(fleet, main))
+
+
+def _keepers(fleet):
+    return sorted(fleet.log.state.keepers['a'].members)
+
+
+def _has_members(fleet):
+    return all(
+        node.distribution.dump().gossip.alive == NODES
+        for node in fleet.nodes.values()
+    )
+
+
+def _others(fleet):
+    """Return the names of the nodes that are no keepers, by rank."""
+    others = set(fleet.nodes) - set(_keepers(fleet))
+    return sorted(others, key=rank_of)
+
+
+def _parent(node):
+    return node.distribution.dump().uplink.parent
+
+
+def _detach(fleet, name):
+    for node in fleet.nodes.values():
+        session = node.distribution._downlink.sessions.get(name)
+        if session:
+            session.closed.set()
+
+
+async def _attach(fleet, name, parent):
+    """Move a node below another one."""
+    address = fleet.nodes[parent].cfg.control
+    child = fleet.nodes[name]
+    while _parent(child) != address:
+        child.distribution._uplink._hint = address
+        _detach(fleet, name)
+        await asyncio.sleep(0.2)
+
+
+async def _accept(fleet, names):
+    """Accept a version and assert that nodes have it in force in time."""
+    await fleet.activate(2)
+    began = time.monotonic()
+    await wait_until(
+        lambda: all(fleet.nodes[name].version == 2 for name in names),
+        fleet.versions,
+    )
+    assert time.monotonic() - began < APPLY_SECONDS
+
+
+def test_a_version_reaches_a_node_that_no_parent_admits(refused):
+    """A node between two parents is in nobody's count."""
+
+    async def scenario(fleet):
+        child = _others(fleet)[0]
+        refused.add(child)
+        _detach(fleet, child)
+        await wait_until(lambda: not _parent(fleet.nodes[child]))
+        await _accept(fleet, [child])
+
+    _run(scenario)
+
+
+def test_a_version_reaches_all_nodes_that_no_parent_admits(refused):
+    async def scenario(fleet):
+        children = _others(fleet)
+        refused.update(children)
+        for child in children:
+            _detach(fleet, child)
+        await _accept(fleet, children)
+
+    _run(scenario)
+
+
+def test_a_version_reaches_the_child_of_a_parent_without_parent():
+    """The parent keeps its children while it looks for a parent."""
+
+    async def scenario(fleet):
+        parent, *_, child = _others(fleet)
+        await _attach(fleet, child, parent)
+        fleet.partition_from_nodes(parent, _keepers(fleet))
+        await _accept(fleet, [child])
+
+    _run(scenario)
+
+
+def test_a_version_reaches_the_child_of_a_keeper_that_is_cut_off():
+    async def scenario(fleet):
+        keeper, *others = _keepers(fleet)
+        child = _others(fleet)[-1]
+        await _attach(fleet, child, keeper)
+        fleet.partition_from_sources(keeper)
+        fleet.partition_from_nodes(keeper, others)
+        await _accept(fleet, [child])
+
+    _run(scenario)
