Fetch versions from other members where the tree brings none

What callers saw: a request is routed by an older version seconds after a newer one was confirmed, at one node, while all others go on.

Cause: the tree was the only way by which a version reached a node. A node without a parent is in nobody's count, so the version is confirmed without it; a parent that has lost its own parent keeps its children until its contact to the leader is 4 s old. Nothing else bounded the age of a node's configuration, so each fault of the tree, known or not, was a fault of the configuration.

Change: membership packets tell the established version of their sender. A node that is told of a newer one than the tree has brought fetches it from the sender, and tells its children and some members.

Two tests of the tree counted on its being the only way. DistributionView moved to the other views, and the channels create their own counter.

--- a/bench/distribution_faults_test.py
+++ b/bench/distribution_faults_test.py
@@ -2,9 +2,12 @@
 
 import asyncio
 
+import pytest
+
 from bench.distribution_fleet import Fleet, run_fleet, wait_until
 from bench.ports import open_unresponsive_address
 from medlarhoist.core import keeper_plan, tree
+from medlarhoist.node.uplink import Uplink
 
 
 def _create_fleet(nodes: int, domains: str = 'a', sources: int = 1) -> Fleet:
@@ -50,6 +53,9 @@
         restarted = _non_keepers(fleet)[0]
         fleet.partition_from_sources(outdated)
         fleet.partition_from_nodes(outdated, set(_keepers(fleet)) - {outdated})
+        fleet.nodes[outdated].channels.block(
+            [node.cfg.control for node in fleet.nodes.values()]
+        )
         await fleet.activate(2)
         await wait_until(lambda: fleet.nodes[restarted].version == 2)
         await fleet.nodes[restarted].stop()
@@ -205,7 +211,9 @@
     asyncio.run(run_fleet(_create_fleet(4, sources=3), scenario))
 
 
-def test_many_missed_changes_are_sent_as_one_snapshot():
+@pytest.mark.parametrize('kind', ['Stage', 'CatchUpReply'])
+def test_many_missed_changes_are_sent_as_one_snapshot(kind, monkeypatch):
+    """By the tree, or by a member where no parent can be found."""
     missed = 200
 
     async def scenario(fleet):
@@ -216,18 +224,27 @@
         )
         for version in range(2, missed + 2):
             await fleet.activate(version)
-        before = _received_stages(outdated)
+        if kind == 'Stage':
+            outdated.distribution._gossip.on_version = lambda *_: None
+        else:
+            monkeypatch.setattr(Uplink, '_choose_parent', lambda _: '')
+        # Members that still lack the last version would give an earlier one.
+        others = [node for node in fleet.nodes.values() if node != outdated]
+        await wait_until(
+            lambda: all(node.version == missed + 1 for node in others)
+        )
+        before = _received(outdated, kind)
         outdated.channels.heal()
         await fleet.wait_until_in_force(missed + 1)
-        assert _received_stages(outdated) - before == 1
+        assert _received(outdated, kind) - before == 1
         assert outdated.versions == [0, 1, missed + 1]
 
     asyncio.run(run_fleet(_create_fleet(4), scenario))
 
 
-def _received_stages(node) -> int:
+def _received(node, kind) -> int:
     received = node.distribution.dump().traffic.received
-    return sum(volume.messages for volume in received if volume.kind == 'Stage')
+    return sum(volume.messages for volume in received if volume.kind == kind)
 
 
 def test_deep_tree_keeps_fan_out_bound_and_reattaches_orphans(monkeypatch):
--- a/bench/distribution_fleet.py
+++ b/bench/distribution_fleet.py
@@ -146,7 +146,7 @@
             create_server(
                 create_service(self.distribution.procedures()),
                 KEY.encode(),
-                self.distribution.traffic,
+                self.channels.traffic,
             ),
         )
         await self.distribution.start()
--- a/bench/distribution_nodes.py
+++ b/bench/distribution_nodes.py
@@ -68,7 +68,7 @@
 def _count(nodes: list[NodeProcess]) -> Counts:
     volumes: list[Volume] = []
     for process in nodes:
-        volumes.extend(process.distribution.traffic.view().sent)
+        volumes.extend(process.channels.traffic.view().sent)
     kinds = sorted({volume.kind for volume in volumes})
     return Counts(
         octets=total_octets(tuple(volumes)),
--- a/medlarhoist/core/membership_probe.py
+++ b/medlarhoist/core/membership_probe.py
@@ -55,6 +55,7 @@
         updates: records of members that have changed.
         suspicions: records of requests that are suspected to crash targets.
         withdrawals: runs of targets of this domain that drain or have left.
+        version: configuration version that is established at the sender.
     """
 
     kind: PacketKind
@@ -64,6 +65,7 @@
     updates: tuple[Member, ...] = ()
     suspicions: tuple[Suspicion, ...] = ()
     withdrawals: tuple[Withdrawal, ...] = ()
+    version: int = 0
 
 
 class Outgoing(Struct, frozen=True):
--- a/medlarhoist/node/app.py
+++ b/medlarhoist/node/app.py
@@ -154,7 +154,7 @@
             self._cfg.control,
             self._distribution.procedures(),
             self._cfg.shared_key,
-            self._distribution.traffic,
+            self._distribution.channels.traffic,
         )
         await self._proxy.start()
         await self._distribution.start()
--- /dev/null
+++ b/medlarhoist/node/catch_up.py
@@ -0,0 +1,205 @@
+"""Catch-up: fetches versions that other members of the domain have.
+
+Versions come down the tree. A node that the tree does not reach would stay at
+an older version for as long as that lasts. Therefore each membership packet
+tells the established version of its sender, and a node that is told of a newer
+one than the tree has brought fetches it from the sender.
+"""
+
+import asyncio
+import time
+from typing import Any, Final
+
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+from loguru import logger
+
+from medlarhoist.core.backoff import max_delay_seconds
+from medlarhoist.core.membership import Member
+from medlarhoist.core.newer_versions import NewerVersions
+from medlarhoist.core.settings import NodeSettings
+from medlarhoist.node.configuration import Configuration
+from medlarhoist.node.downlink import Downlink
+from medlarhoist.node.gossip import Gossip
+from medlarhoist.node.uplink import Uplink
+from medlarhoist.node.uplink_receiver import Receiver
+from medlarhoist.utils.tasks import cancel_all
+from medlarhoist.wire.channels import Channels
+from medlarhoist.wire.message import CatchUpReply, CatchUpRequest
+from medlarhoist.wire.procedures import CATCH_UP
+from medlarhoist.wire.rpc import Method, StreamHandler
+
+# Most versions come down the tree within this time.
+TREE_SECONDS: Final = 0.3
+# Sources and nodes send heartbeats each 0.8 and 0.5 s, so the contact of a node
+# below two others is no older while the tree works.
+FRESH_SECONDS: Final = 2.0
+
+
+class CatchUp:
+    """Fetches newer versions for one node, and serves them to others.
+
+    Attributes:
+        count: versions that were fetched since the start.
+    """
+
+    __slots__ = (
+        '_cfg',
+        '_channels',
+        '_configuration',
+        '_downlink',
+        '_gossip',
+        '_newer',
+        '_receiver',
+        '_tasks',
+        '_told',
+        '_uplink',
+        'count',
+    )
+
+    def __init__(
+        self,
+        cfg: NodeSettings,
+        channels: Channels,
+        configuration: Configuration,
+        downlink: Downlink,
+        gossip: Gossip,
+        receiver: Receiver,
+        uplink: Uplink,
+    ) -> None:
+        """Create it; `start` runs it."""
+        self._cfg = cfg
+        self._channels = channels
+        self._configuration = configuration
+        self._downlink = downlink
+        self._gossip = gossip
+        self._newer = NewerVersions()
+        self._receiver = receiver
+        self._tasks: list[asyncio.Task[None]] = []
+        self._told = asyncio.Event()
+        self._uplink = uplink
+        self.count = 0
+
+    def procedures(self) -> dict[Method, StreamHandler]:
+        """Return the procedure that other members of the domain call."""
+        return {CATCH_UP: self._serve}
+
+    def start(self) -> None:
+        """Exchange versions with the members, and fetch newer ones."""
+        self._gossip.read_version = self._read_version
+        self._gossip.on_version = self._record
+        self._tasks = [asyncio.ensure_future(self._run())]
+
+    async def stop(self) -> None:
+        """Stop and wait until that is done."""
+        await cancel_all(self._tasks)
+
+    async def _run(self) -> None:
+        while True:
+            await self._wait_until_told()
+            if self._told.is_set():
+                self._told.clear()
+                await self._await_tree()
+                await self._fetch_newer()
+            elif not self._is_tree_fresh():
+                self._gossip.probe_some()
+
+    async def _wait_until_told(self) -> None:
+        """Wait for a newer version, or until it is time to ask for one.
+
+        All members of a domain together ask at a bounded rate.
+        """
+        try:
+            async with asyncio.timeout(
+                max_delay_seconds(self._gossip.view().alive)
+            ):
+                await self._told.wait()
+        except TimeoutError:
+            return
+
+    async def _await_tree(self) -> None:
+        """Leave the tree some time to bring the version, while it works."""
+        if not self._is_tree_fresh():
+            return
+        behind_s = self._newer.seconds_behind(
+            self._configuration.established, time.monotonic()
+        )
+        await asyncio.sleep(max(0, TREE_SECONDS - behind_s))
+
+    async def _fetch_newer(self) -> None:
+        """Ask the members that told of a newer version, until one has it."""
+        while True:
+            address = self._newer.pop_teller(self._configuration.established)
+            if not address:
+                return
+            await self._fetch(address)
+
+    async def _fetch(self, address: str) -> None:
+        before = self._configuration.established
+        behind_s = self._newer.seconds_behind(before, time.monotonic())
+        for is_whole in (False, True):
+            request = self._request(is_whole)
+            reply = await self._channels.try_call(address, CATCH_UP, request)
+            if reply is None or not self._adopt(reply):
+                break
+        established = self._configuration.established
+        if established == before:
+            return
+        self.count += 1
+        logger.bind(
+            member=address,
+            parent=self._uplink.parent,
+            leader_age_s=round(self._receiver.seconds_since_leader(), 2),
+            behind_s=round(behind_s, 2),
+        ).info('configuration: version {} was fetched', established)
+        self._uplink.mark_changed()
+        self._gossip.push(has_news=True)
+
+    def _adopt(self, reply: CatchUpReply) -> bool:
+        """Apply a reply; return whether the whole snapshot is needed."""
+        established = reply.established
+        if established.version <= self._configuration.established:
+            return False
+        if reply.stage is not None and self._receiver.stage(reply.stage):
+            return True
+        self._receiver.establish(established)
+        return False
+
+    def _request(self, is_whole: bool) -> CatchUpRequest:
+        version = 0 if is_whole else self._configuration.established
+        return CatchUpRequest(
+            domain=self._cfg.domain,
+            held=version,
+            digest=self._configuration.history.digest(version),
+        )
+
+    async def _serve(self, stream: Any) -> None:
+        request: CatchUpRequest = await stream.recv_message()
+        if request.domain != self._cfg.domain:
+            raise GRPCError(Status.INVALID_ARGUMENT, 'another domain')
+        established = self._downlink.established()
+        stage = self._configuration.history.stage_message(
+            established.version, request.held, request.digest
+        )
+        await stream.send_message(
+            CatchUpReply(established=established, stage=stage)
+        )
+
+    def _read_version(self) -> int:
+        return self._configuration.established
+
+    def _record(self, version: int, member: Member) -> None:
+        is_newer = self._newer.record(
+            version,
+            member.control,
+            self._configuration.established,
+            time.monotonic(),
+        )
+        if is_newer:
+            self._told.set()
+
+    def _is_tree_fresh(self) -> bool:
+        """Return whether this node has a parent in touch with the leader."""
+        if not self._uplink.parent:
+            return False
+        return self._receiver.seconds_since_leader() < FRESH_SECONDS
--- a/medlarhoist/node/distribution.py
+++ b/medlarhoist/node/distribution.py
@@ -9,73 +9,42 @@
 import asyncio
 from random import Random
 
-from msgspec import Struct
-
 from medlarhoist.core.interfaces import EvidenceSource
 from medlarhoist.core.membership import MembershipState, live_members
 from medlarhoist.core.settings import NodeSettings
 from medlarhoist.core.shared_records import SharedRecords
-from medlarhoist.node.configuration import (
-    Configuration,
-    ConfigurationView,
-    view_configuration,
-)
+from medlarhoist.node.catch_up import CatchUp
+from medlarhoist.node.configuration import Configuration, view_configuration
 from medlarhoist.node.downlink import Downlink
 from medlarhoist.node.floor_client import await_floor
-from medlarhoist.node.gossip import Gossip, GossipView
+from medlarhoist.node.gossip import Gossip
 from medlarhoist.node.heartbeat import Heartbeat
 from medlarhoist.node.join import Directory
-from medlarhoist.node.keeper import Keeper, KeeperView
+from medlarhoist.node.keeper import Keeper
 from medlarhoist.node.keeper_exchange import KeeperExchange
 from medlarhoist.node.keeper_loop import KeeperLoop
-from medlarhoist.node.lag_monitor import LagView, create_lag_monitor
+from medlarhoist.node.lag_monitor import create_lag_monitor
 from medlarhoist.node.registry import TargetRegistry
-from medlarhoist.node.uplink import Uplink, UplinkView
+from medlarhoist.node.uplink import Uplink
 from medlarhoist.node.uplink_receiver import Receiver
+from medlarhoist.node.view import DistributionView
 from medlarhoist.node.withdrawal_exchange import WithdrawalExchange
 from medlarhoist.utils.tasks import cancel_all
-from medlarhoist.utils.traffic import Traffic, TrafficView
 from medlarhoist.wire.channels import Channels, create_channels
 from medlarhoist.wire.rpc import Method, StreamHandler
 
 
-class DistributionView(Struct, frozen=True, kw_only=True):
-    """State of the distribution in a dump.
-
-    Args:
-        configuration: the versions that the node holds.
-        keeper: its state as a keeper.
-        uplink: its connection to its parent.
-        gossip: its membership exchange.
-        children: names of the attached children.
-        summaries: number of targets in the summary of each other domain.
-        traffic: control bytes sent and received.
-        lag: how late versions came into force.
-        waiting_for: what is missing before a version can be in force, empty
-            once one is.
-    """
-
-    configuration: ConfigurationView
-    keeper: KeeperView
-    uplink: UplinkView
-    gossip: GossipView
-    children: tuple[str, ...]
-    summaries: dict[str, int]
-    traffic: TrafficView
-    lag: LagView
-    waiting_for: str
-
-
 class Distribution:
     """The parts of one node that provide its configuration.
 
     Args:
+        channels: its connections to other processes.
         directory: the keeper sets and addresses of sources it has received.
     """
 
     __slots__ = (
+        '_catch_up',
         '_cfg',
-        '_channels',
         '_configuration',
         '_downlink',
         '_exchange',
@@ -91,6 +60,7 @@
         '_tasks',
         '_uplink',
         '_withdrawal_exchange',
+        'channels',
         'directory',
     )
 
@@ -113,7 +83,7 @@
             cfg, configuration, directory, keeper, downlink, evidence
         )
         self._cfg = cfg
-        self._channels = channels
+        self.channels = channels
         self._configuration = configuration
         self.directory = directory
         self._downlink = downlink
@@ -141,6 +111,15 @@
         self._uplink = Uplink(
             cfg, channels, directory, keeper, receiver, random
         )
+        self._catch_up = CatchUp(
+            cfg,
+            channels,
+            configuration,
+            downlink,
+            self._gossip,
+            receiver,
+            self._uplink,
+        )
         self._lag_monitor = create_lag_monitor(
             configuration, self._uplink, receiver
         )
@@ -152,6 +131,7 @@
     def procedures(self) -> dict[Method, StreamHandler]:
         """Return the gRPC procedures to serve on the control address."""
         return {
+            **self._catch_up.procedures(),
             **self.directory.procedures(),
             **self._downlink.procedures(),
             **self._exchange.procedures(),
@@ -160,16 +140,12 @@
             **self._withdrawal_exchange.procedures(),
         }
 
-    @property
-    def traffic(self) -> Traffic:
-        """Return the counter of control bytes, for the server to add to."""
-        return self._channels.traffic
-
     async def start(self) -> None:
         """Start to join; the control address must be served already."""
         await self._gossip.start()
         self._keeper_loop.start()
         self._uplink.start()
+        self._catch_up.start()
         self._exchange.start()
         self._tasks = [
             asyncio.ensure_future(self._read_floor()),
@@ -184,11 +160,12 @@
         """Redirect the children, detach and leave the domain."""
         await cancel_all(self._tasks)
         self._exchange.stop()
+        await self._catch_up.stop()
         await self._keeper_loop.stop()
         self._downlink.redirect_all('', 'parent stops')
         await self._uplink.stop()
         await self._gossip.stop()
-        self._channels.close()
+        self.channels.close()
 
     def dump(self) -> DistributionView:
         """Return the state for a dump."""
@@ -202,8 +179,9 @@
             summaries={
                 summary.domain: len(summary.targets) for summary in summaries
             },
-            traffic=self._channels.traffic.view(),
+            traffic=self.channels.traffic.view(),
             lag=self._lag_monitor.view(),
+            fetched=self._catch_up.count,
             waiting_for=self._waiting_for(),
         )
 
@@ -240,7 +218,7 @@
     async def _read_floor(self) -> None:
         floor = await await_floor(
             self._cfg,
-            self._channels,
+            self.channels,
             self._keeper,
             self.directory,
             self._random,
@@ -271,7 +249,7 @@
         channels: its connections; None creates them from the settings.
     """
     if channels is None:
-        channels = create_channels(cfg.shared_key, cfg.name, Traffic())
+        channels = create_channels(cfg.shared_key, cfg.name)
     return Distribution(
         cfg,
         configuration,
--- a/medlarhoist/node/downlink.py
+++ b/medlarhoist/node/downlink.py
@@ -103,7 +103,23 @@
             age_ms: time since the last contact with the leader of the
                 sources, in milliseconds.
         """
-        self.broadcast(self._established(age_ms))
+        self.broadcast(self.established(age_ms))
+
+    def established(self, age_ms: int = 0) -> Established:
+        """Return the message that tells the established version.
+
+        Args:
+            age_ms: time since the last contact with the leader of the
+                sources, in milliseconds.
+        """
+        version = self._configuration.established
+        acceptance = self._configuration.acceptance
+        return Established(
+            version=version,
+            epoch=epoch_of(self._directory.domain_keepers),
+            age_ms=age_ms,
+            since_ms=acceptance.ms_since(version, time.monotonic()),
+        )
 
     def broadcast(self, message: DownMessage) -> None:
         """Send a message to every child."""
@@ -172,7 +188,7 @@
         established = self._configuration.established
         if session.delta_base.version < established:
             self._offer(session, established)
-        session.send(self._established())
+        session.send(self.established())
         staged = self._configuration.staged
         if staged:
             self._offer(session, staged)
@@ -200,16 +216,6 @@
         if stage is not None:
             session.send_stage(stage, history.digest(version))
 
-    def _established(self, age_ms: int = 0) -> Established:
-        version = self._configuration.established
-        acceptance = self._configuration.acceptance
-        return Established(
-            version=version,
-            epoch=epoch_of(self._directory.domain_keepers),
-            age_ms=age_ms,
-            since_ms=acceptance.ms_since(version, time.monotonic()),
-        )
-
 
 def _ignore() -> None:
     """Ignore a change."""
--- a/medlarhoist/node/gossip.py
+++ b/medlarhoist/node/gossip.py
@@ -5,12 +5,13 @@
 """
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from random import Random
 from typing import Any, Final, cast
 
 from loguru import logger
 from msgspec import Struct
+from msgspec.structs import replace
 
 from medlarhoist.core.membership import (
     Member,
@@ -48,6 +49,8 @@
 SYNC_INTERVAL_SECONDS: Final = 30.0
 SEED_PROBE_INTERVAL_SECONDS: Final = 1.0
 DIGEST_OCTETS: Final = 16
+# Members that a node probes at once for their versions.
+PROBED: Final = 2
 
 
 class GossipView(Struct, frozen=True, kw_only=True):
@@ -71,7 +74,13 @@
 
 
 class Gossip(asyncio.DatagramProtocol):
-    """The membership exchange of one node."""
+    """The membership exchange of one node.
+
+    Attributes:
+        on_version: called with the established version of the sender of each
+            packet of the domain, and with its record.
+        read_version: returns the version that is established at this node.
+    """
 
     def __init__(
         self,
@@ -100,6 +109,8 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._push_scheduled = False
+        self.read_version: Callable[[], int] = int
+        self.on_version: Callable[[int, Member], None] = _ignore_version
         self.dropped = 0
 
     def connection_made(self, transport: Any) -> None:
@@ -120,12 +131,22 @@
         self._channels.traffic.count_received(packet, len(data))
         loop = asyncio.get_running_loop()
         self._shared.merge(packet, monotonic_seconds())
+        if packet.sender.domain == self._cfg.domain:
+            self.on_version(packet.version, packet.sender)
         self._send(receive(self._prober, packet, loop.time()))
         self.schedule_push()
 
     def error_received(self, exc: Exception) -> None:
         """Ignore refused datagrams; probes detect unresponsive members."""
 
+    def probe_some(self) -> None:
+        """Probe a few random members, whose replies tell their versions."""
+        members = live_members(self._membership)
+        probed = self._random.sample(members, min(PROBED, len(members)))
+        self._send(
+            probe_addresses(self._prober, [member.gossip for member in probed])
+        )
+
     def schedule_push(self) -> None:
         """Push records not sent yet, after `PUSH_DELAY_SECONDS`."""
         has_updates = 0 in self._membership.send_counts.values()
@@ -135,7 +156,17 @@
             return
         self._push_scheduled = True
         loop = asyncio.get_running_loop()
-        loop.call_later(PUSH_DELAY_SECONDS, self._push)
+        loop.call_later(PUSH_DELAY_SECONDS, self.push)
+
+    def push(self, *, has_news: bool = False) -> None:
+        """Push records not sent yet to a few random members.
+
+        Args:
+            has_news: whether to push in any case, as the version is news.
+        """
+        self._push_scheduled = False
+        has_news = has_news or self._shared.has_unsent()
+        self._send(push_updates(self._prober, self._random, has_news=has_news))
 
     async def start(self) -> None:
         """Open the socket and start to probe and synchronize.
@@ -158,7 +189,7 @@
         """Announce that this node leaves, and close the socket."""
         leave(self._membership)
         await cancel_all(self._tasks)
-        self._push()
+        self.push()
         if self._transport:
             self._transport.close()
 
@@ -188,7 +219,7 @@
                 continue
             self._shared.merge(reply, monotonic_seconds())
             if reply.members:
-                self._merge(reply.members)
+                _merge(self._membership, reply.members)
                 full_sync = _create_full_sync(self._membership)
                 await self._channels.try_call(address, SYNC, full_sync)
             return True
@@ -210,7 +241,7 @@
     async def _serve_sync(self, stream: Any) -> None:
         request: Sync = await stream.recv_message()
         if request.domain == self._cfg.domain:
-            self._merge(request.members)
+            _merge(self._membership, request.members)
         self._shared.merge(request, monotonic_seconds())
         reply = _create_full_sync(self._membership)
         if reply.digest == request.digest:
@@ -218,20 +249,14 @@
         reply = self._shared.attach(reply, monotonic_seconds())
         await stream.send_message(reply)
 
-    def _merge(self, members: tuple[Member, ...]) -> None:
-        now = asyncio.get_running_loop().time()
-        merge_members(self._membership, members, now, spread=False)
-
-    def _push(self) -> None:
-        self._push_scheduled = False
-        has_news = self._shared.has_unsent()
-        self._send(push_updates(self._prober, self._random, has_news=has_news))
-
     def _send(self, outgoing: list[Outgoing]) -> None:
         now = monotonic_seconds()
         limit = retransmissions(self._membership)
         for datagram in outgoing:
-            packet = self._shared.attach_updates(datagram.packet, limit, now)
+            packet = replace(
+                self._shared.attach_updates(datagram.packet, limit, now),
+                version=self.read_version(),
+            )
             body = encode(packet)
             data = sign(self._key, body) + body
             host, _, port = datagram.address.rpartition(':')
@@ -278,6 +303,15 @@
     return tuple(sorted(names))
 
 
+def _merge(membership: MembershipState, members: tuple[Member, ...]) -> None:
+    now = asyncio.get_running_loop().time()
+    merge_members(membership, members, now, spread=False)
+
+
+def _ignore_version(version: int, member: Member) -> None:
+    """Ignore the version of a member."""
+
+
 def _create_full_sync(membership: MembershipState) -> Sync:
     """Return the message that contains every record of a node."""
     return Sync(
--- a/medlarhoist/node/metrics.py
+++ b/medlarhoist/node/metrics.py
@@ -4,10 +4,10 @@
 from typing import Final
 
 from medlarhoist.core.latency import Latencies
-from medlarhoist.node.distribution import DistributionView
 from medlarhoist.node.lag_monitor import LagView
 from medlarhoist.node.proxy.proxy import ProxyDump
 from medlarhoist.node.recorder import Totals
+from medlarhoist.node.view import DistributionView
 from medlarhoist.utils.metrics import Family, Metric, Sample
 from medlarhoist.utils.traffic import Volume
 
@@ -30,6 +30,11 @@
     doc='Time from acceptance until versions were in force here, together.',
     family=Family.COUNTER,
 )
+VERSIONS_FETCHED: Final = Metric(
+    name='configuration_fetched_total',
+    doc='Versions that came from another member than the parent.',
+    family=Family.COUNTER,
+)
 CALLS: Final = Metric(
     name='calls_total',
     doc='Calls by service, route, target version and result.',
@@ -111,6 +116,7 @@
     KEEPER_VERSION,
     LAG_BUCKET,
     LAG_SUM,
+    VERSIONS_FETCHED,
     CALLS,
     LATENCY_BUCKET,
     LATENCY_SUM,
@@ -151,6 +157,7 @@
     yield Sample(metric=CONFIGURATION_VERSION, number=active)
     yield Sample(metric=KEEPER_VERSION, number=distribution.keeper.held)
     yield from _list_lags(distribution.lag)
+    yield Sample(metric=VERSIONS_FETCHED, number=distribution.fetched)
     gossip = distribution.gossip
     for state, count in (
         ('alive', gossip.alive),
--- a/medlarhoist/node/metrics_test.py
+++ b/medlarhoist/node/metrics_test.py
@@ -4,10 +4,10 @@
 
 from medlarhoist.core.latency import Latencies
 from medlarhoist.core.quarantine import Suspicion
-from medlarhoist.node.distribution import DistributionView
 from medlarhoist.node.metrics import list_node_samples
 from medlarhoist.node.proxy.proxy import ProxyDump
 from medlarhoist.node.recorder import Totals
+from medlarhoist.node.view import DistributionView
 from medlarhoist.utils.metrics import create_metrics
 
 DISTRIBUTION = {
@@ -42,6 +42,7 @@
         'received': [],
     },
     'lag': {'within': {'1': 4, '+Inf': 5}, 'total_seconds': 2.5},
+    'fetched': 6,
     'waiting_for': '',
 }
 PROXY = ProxyDump(
@@ -85,6 +86,7 @@
     assert 'medlarhoist_node_configuration_version 7' in rendered
     assert 'configuration_lag_within_total{le="1"} 4' in rendered
     assert 'configuration_lag_seconds_total 2.5' in rendered
+    assert 'configuration_fetched_total 6' in rendered
     assert 'medlarhoist_slots_used 3' in rendered
     assert 'medlarhoist_target_rate_limit 12.5' in rendered
     assert 'medlarhoist_connections{listener="peer"} 5' in rendered
--- a/medlarhoist/node/uplink_receiver.py
+++ b/medlarhoist/node/uplink_receiver.py
@@ -102,9 +102,10 @@
             again, because the message could not be applied.
         """
         if isinstance(message, Stage):
-            return self._stage(message)
+            return self.stage(message)
         if isinstance(message, Established):
-            return self._establish(message)
+            self._evaluate_parent(message)
+            return self.establish(message)
         if isinstance(message, Activated):
             self._leader_contact_at = time.monotonic()
             self._record_acceptance(message)
@@ -238,7 +239,12 @@
         elif not self._behind_since:
             self._behind_since = now
 
-    def _stage(self, message: Stage) -> bool:
+    def stage(self, message: Stage) -> bool:
+        """Compile a version and offer it to the children.
+
+        Returns:
+            Whether the complete snapshot is needed.
+        """
         staged = self._configuration.stage(message)
         if staged.faults:
             logger.warning(
@@ -250,8 +256,15 @@
             self._downlink.offer(message.version)
         return staged.mismatch
 
-    def _establish(self, message: Established) -> bool:
-        self._evaluate_parent(message)
+    def establish(self, message: Established) -> bool:
+        """Put an established version in force and tell the children.
+
+        Args:
+            message: from the parent or another member of the domain.
+
+        Returns:
+            Whether the version must be staged first.
+        """
         self._record_acceptance(message)
         before = self._configuration.established
         if not self._configuration.establish(message.version):
--- a/medlarhoist/node/view.py
+++ b/medlarhoist/node/view.py
@@ -3,8 +3,42 @@
 from msgspec import Struct
 
 from medlarhoist.core.presence import Presence
-from medlarhoist.node.distribution import DistributionView
+from medlarhoist.node.configuration import ConfigurationView
+from medlarhoist.node.gossip import GossipView
+from medlarhoist.node.keeper import KeeperView
+from medlarhoist.node.lag_monitor import LagView
 from medlarhoist.node.proxy.proxy import ProxyDump
+from medlarhoist.node.uplink import UplinkView
+from medlarhoist.utils.traffic import TrafficView
+
+
+class DistributionView(Struct, frozen=True, kw_only=True):
+    """State of the distribution in a dump.
+
+    Args:
+        configuration: the versions that the node holds.
+        keeper: its state as a keeper.
+        uplink: its connection to its parent.
+        gossip: its membership exchange.
+        children: names of the attached children.
+        summaries: number of targets in the summary of each other domain.
+        traffic: control bytes sent and received.
+        lag: how late versions came into force.
+        fetched: versions that came from another member than the parent.
+        waiting_for: what is missing before a version can be in force, empty
+            once one is.
+    """
+
+    configuration: ConfigurationView
+    keeper: KeeperView
+    uplink: UplinkView
+    gossip: GossipView
+    children: tuple[str, ...]
+    summaries: dict[str, int]
+    traffic: TrafficView
+    lag: LagView
+    fetched: int = 0
+    waiting_for: str
 
 
 class NodeView(Struct, frozen=True, kw_only=True):
--- a/medlarhoist/wire/channels.py
+++ b/medlarhoist/wire/channels.py
@@ -85,12 +85,17 @@
             self._channels.popitem()[1].close()
 
 
-def create_channels(key: str, sender: str, traffic: Traffic) -> Channels:
+def create_channels(
+    key: str,
+    sender: str,
+    traffic: Traffic | None = None,
+) -> Channels:
     """Return the channels of a process.
 
     Args:
         key: the shared key.
         sender: name of the process, sent with each call.
-        traffic: counts the messages and bytes of all channels.
+        traffic: counts the messages and bytes of all channels; None creates
+            a counter.
     """
-    return Channels(key.encode(), sender, traffic)
+    return Channels(key.encode(), sender, traffic or Traffic())
--- a/medlarhoist/wire/message.py
+++ b/medlarhoist/wire/message.py
@@ -242,6 +242,33 @@
     version: int
 
 
+class CatchUpRequest(Struct, frozen=True, kw_only=True, tag='catch-up'):
+    """Asks a member of the domain for its established version.
+
+    Args:
+        domain: the failure domain.
+        held: established version of the asking node, zero for none or where
+            the complete snapshot is needed.
+        digest: digest of that snapshot.
+    """
+
+    domain: str
+    held: int
+    digest: str = ''
+
+
+class CatchUpReply(Struct, frozen=True, kw_only=True, tag='caught-up'):
+    """The established version of a member of the domain.
+
+    Args:
+        established: the version.
+        stage: the message that stages it, None if it cannot be made.
+    """
+
+    established: Established
+    stage: Stage | None = None
+
+
 class Sync(Struct, frozen=True, kw_only=True, tag='sync'):
     """Exchanges the membership records of a failure domain, if they differ.
 
--- a/medlarhoist/wire/procedures.py
+++ b/medlarhoist/wire/procedures.py
@@ -7,6 +7,8 @@
 
 from medlarhoist.core.floor import FloorReply
 from medlarhoist.wire.message import (
+    CatchUpReply,
+    CatchUpRequest,
     DownMessage,
     Exchange,
     Fetch,
@@ -45,6 +47,12 @@
     request=Fetch,
     reply=Stage,
 )
+# Returns the established version to a node of the domain that lacks it.
+CATCH_UP: Final = Method(
+    path='/medlarhoist.Distribution/CatchUp',
+    request=CatchUpRequest,
+    reply=CatchUpReply,
+)
 # Compares membership records within a failure domain.
 SYNC: Final = Method(
     path='/medlarhoist.Distribution/Sync',
