Tell new children how old the contact to the leader is

A parent told each new child that its contact to the leader was just now, as the first message had no age. A node that moved from one parent without contact to the next one took that for fresh and stayed there for 4 s more, at each of them. A keeper that established a version by its peers told its children the same.

Each message that tells the established version now has the age of the contact. The new test failed before: the child's contact was 0.04 s old below a parent without contact for 2 s.

--- a/bench/outdated_node_test.py
+++ b/bench/outdated_node_test.py
@@ -147,3 +147,22 @@
         await _accept(fleet, [child])
 
     _run(scenario)
+
+
+def test_a_new_child_is_told_how_old_the_contact_of_its_parent_is(refused):
+    """It would stay below parents without contact, 4 s at each of them."""
+
+    async def scenario(fleet):
+        parent, *_, child = _others(fleet)
+        refused.add(child)
+        _detach(fleet, child)
+        fleet.partition_from_nodes(parent, _keepers(fleet))
+        others = set(fleet.nodes) - {parent, child}
+        fleet.partition_from_nodes(child, others)
+        await asyncio.sleep(APPLY_SECONDS)
+        refused.clear()
+        await _attach(fleet, child, parent)
+        receiver = fleet.nodes[child].distribution._receiver
+        assert receiver.seconds_since_leader() > APPLY_SECONDS / 2
+
+    _run(scenario)
--- a/medlarhoist/node/distribution.py
+++ b/medlarhoist/node/distribution.py
@@ -89,7 +89,7 @@
         self._downlink = downlink
         self._gossip = Gossip(cfg, membership, channels, random, shared)
         self._heartbeat = Heartbeat(
-            cfg, directory, downlink, self._gossip, keeper, receiver, registry
+            cfg, directory, downlink, self._gossip, keeper, registry
         )
         self._withdrawal_exchange = WithdrawalExchange(
             cfg, channels, directory, membership, random, shared
@@ -189,6 +189,9 @@
         self.directory.on_change(self._receiver.apply_sets)
         self._downlink.on_change(self._uplink.mark_changed)
         self._downlink.initial_messages = self._registry.summaries
+        self._downlink.seconds_since_leader = (
+            self._receiver.seconds_since_leader
+        )
         self._exchange.on_summary(self._downlink.broadcast)
         self._receiver.on_summary(
             self._registry.update_summary, self._registry.confirm_summaries
--- a/medlarhoist/node/downlink.py
+++ b/medlarhoist/node/downlink.py
@@ -33,6 +33,7 @@
 from medlarhoist.wire.session import Session, serve_session
 
 MAX_ROWS: Final = 4096
+MS_PER_SECOND: Final = 1000
 
 
 class Downlink:
@@ -42,6 +43,8 @@
         initial_messages: returns further messages to send to a new child.
         rows: evidence that the children have reported, not sent on yet; at
             most the latest `MAX_ROWS`.
+        seconds_since_leader: returns the time since the last contact of this
+            node with the leader of the sources.
         sessions: the attached children by name.
     """
 
@@ -54,6 +57,7 @@
         '_random',
         'initial_messages',
         'rows',
+        'seconds_since_leader',
         'sessions',
     )
 
@@ -75,6 +79,7 @@
         self.rows: list[EvidenceRow] = []
         self.sessions: dict[str, Session] = {}
         self.initial_messages: Callable[[], tuple[DownMessage, ...]] = tuple
+        self.seconds_since_leader: Callable[[], float] = float
 
     def on_change(self, callback: Callable[[], None]) -> None:
         """Set the callback for each message of a child.
@@ -96,28 +101,18 @@
         for session in self.sessions.values():
             self._offer(session, version)
 
-    def send_established(self, age_ms: int = 0) -> None:
-        """Announce the established version to every child.
+    def send_established(self) -> None:
+        """Announce the established version to every child."""
+        self.broadcast(self.established())
 
-        Args:
-            age_ms: time since the last contact with the leader of the
-                sources, in milliseconds.
-        """
-        self.broadcast(self.established(age_ms))
-
-    def established(self, age_ms: int = 0) -> Established:
-        """Return the message that tells the established version.
-
-        Args:
-            age_ms: time since the last contact with the leader of the
-                sources, in milliseconds.
-        """
+    def established(self) -> Established:
+        """Return the message that tells the established version."""
         version = self._configuration.established
         acceptance = self._configuration.acceptance
         return Established(
             version=version,
             epoch=epoch_of(self._directory.domain_keepers),
-            age_ms=age_ms,
+            age_ms=int(self.seconds_since_leader() * MS_PER_SECOND),
             since_ms=acceptance.ms_since(version, time.monotonic()),
         )
 
--- a/medlarhoist/node/heartbeat.py
+++ b/medlarhoist/node/heartbeat.py
@@ -13,14 +13,12 @@
 from medlarhoist.node.join import Directory
 from medlarhoist.node.keeper import Keeper
 from medlarhoist.node.registry import TargetRegistry
-from medlarhoist.node.uplink_receiver import Receiver
 from medlarhoist.wire.message import Ages
 
 # Children leave a parent that sends nothing for more than two of them.
 HEARTBEAT_SECONDS: Final = 0.5
 # Keepers send the ages of summaries with every tenth heartbeat.
 HEARTBEATS_PER_AGES: Final = 10
-MS_PER_SECOND: Final = 1000
 
 
 class Heartbeat:
@@ -32,7 +30,6 @@
         '_downlink',
         '_gossip',
         '_keeper',
-        '_receiver',
         '_registry',
     )
 
@@ -43,7 +40,6 @@
         downlink: Downlink,
         gossip: Gossip,
         keeper: Keeper,
-        receiver: Receiver,
         registry: TargetRegistry,
     ) -> None:
         """Create the sender; `send_all` runs it."""
@@ -52,7 +48,6 @@
         self._downlink = downlink
         self._gossip = gossip
         self._keeper = keeper
-        self._receiver = receiver
         self._registry = registry
 
     async def send_all(self) -> None:
@@ -66,8 +61,7 @@
                 ages = Ages(ages_ms=self._registry.ages_ms())
                 self._downlink.broadcast(ages)
             self._adopt_keeper_set()
-            age_s = self._receiver.seconds_since_leader()
-            self._downlink.send_established(int(age_s * MS_PER_SECOND))
+            self._downlink.send_established()
             keepers = self._directory.domain_keepers
             if not self._gossip.view().alive > 1 and keepers:
                 await self._gossip.sync(self._other_keepers())
