Close control connections that would hold much memory

An operator of a similar system reported an instance that sent bytes without end to a machine that kept them all. Answers of targets were covered; control connections were not. Of 14 new cases three failed before: a frame with an announced length of 16 MiB was collected whole by either side before it was refused, without a key, and replies to pings of a peer that reads nothing were kept without bound.

The libraries have no bound there, so the connection has one of its own.

--- a/medlarhoist/wire/rpc.py
+++ b/medlarhoist/wire/rpc.py
@@ -17,6 +17,7 @@
 
 from medlarhoist.utils.traffic import Traffic
 from medlarhoist.wire.auth import METADATA_KEY, is_token_valid, make_token
+from medlarhoist.wire.bounded_protocol import BoundedChannel, BoundedServer
 from medlarhoist.wire.codec import MsgpackCodec
 
 SERVICE_PREFIX: Final = '/medlarhoist.'
@@ -85,7 +86,7 @@
             status UNAUTHENTICATED.
         traffic: counts the messages and bytes, None for no counting.
     """
-    server = Server([service], codec=MsgpackCodec(traffic))
+    server = BoundedServer([service], codec=MsgpackCodec(traffic))
 
     async def check_token(event: RecvRequest) -> None:  # noqa: WPS430
         token = str(event.metadata.get(METADATA_KEY, ''))
@@ -111,7 +112,7 @@
         traffic: counts the messages and bytes, None for no counting.
     """
     host, _, port = address.rpartition(':')
-    channel = Channel(host, int(port), codec=MsgpackCodec(traffic))
+    channel = BoundedChannel(host, int(port), codec=MsgpackCodec(traffic))
 
     async def add_token(event: SendRequest) -> None:  # noqa: WPS430
         token = make_token(key, sender, int(time.time()))
