Keep the active version however many later ones are refused

After 33 changes in a row that a node refused, the version in force was not among them, and neither sources nor nodes could send it: a restarted node never got a version and answered 503, until the next change was accepted.

The active version is not evicted any more. The new test failed before (no version after 5 s).

--- a/bench/outdated_node_test.py
+++ b/bench/outdated_node_test.py
@@ -10,9 +10,12 @@
 import pytest
 
 from bench.distribution_fleet import Fleet, run_fleet, wait_until
+from medlarhoist.core.compile import compile_snapshot
+from medlarhoist.core.resource import Fault
 from medlarhoist.core.tree import rank_of
 from medlarhoist.node.downlink import Downlink
 from medlarhoist.wire.message import Redirect
+from medlarhoist.wire.snapshot_history import MAX_SNAPSHOTS
 
 # Time in which a version that is accepted must be in force.
 APPLY_SECONDS = 2.0
@@ -36,10 +39,13 @@
     return refused
 
 
-def _run(scenario):
+def _run(scenario, compile_function=None):
+    """Run a scenario; one node may compile with a function of its own."""
     fleet = Fleet(sources=1, keepers=KEEPERS)
     for number in range(NODES):
         fleet.add_node('a', number)
+    if compile_function is not None:
+        fleet.add_node('b', 0, compile_function)
 
     async def main(running):
         await running.wait_until_in_force(0)
@@ -60,12 +66,14 @@
     return all(
         node.distribution.dump().gossip.alive == NODES
         for node in fleet.nodes.values()
+        if node.cfg.domain == 'a'
     )
 
 
 def _others(fleet):
     """Return the names of the nodes that are no keepers, by rank."""
-    others = set(fleet.nodes) - set(_keepers(fleet))
+    others = {name for name in fleet.nodes if name.startswith('a')}
+    others -= set(_keepers(fleet))
     return sorted(others, key=rank_of)
 
 
@@ -166,3 +174,25 @@
         assert receiver.seconds_since_leader() > APPLY_SECONDS / 2
 
     _run(scenario)
+
+
+def test_a_restarted_node_gets_a_version_older_than_many_refused_ones():
+    """Refused versions took the place of the one in force."""
+
+    async def scenario(fleet):
+        for version in range(2, 2 + MAX_SNAPSHOTS + 1):
+            await fleet.activate(version)
+        assert fleet.log.state.active.version == 1
+        name = _others(fleet)[0]
+        await fleet.nodes[name].stop()
+        node = fleet.replace_node(name)
+        await node.start()
+        await wait_until(lambda: node.version == 1, fleet.versions, 5.0)
+
+    _run(scenario, _refuse_after_version_1)
+
+
+def _refuse_after_version_1(snapshot):
+    if snapshot.version > 1:
+        return None, (Fault(source='route/version', message='is bad'),)
+    return compile_snapshot(snapshot)
--- a/medlarhoist/node/configuration.py
+++ b/medlarhoist/node/configuration.py
@@ -174,6 +174,7 @@
         if version not in self._compiled:
             return False
         self.established = version
+        self.history.active = version
         self._activate()
         return True
 
--- a/medlarhoist/source/distributor_children.py
+++ b/medlarhoist/source/distributor_children.py
@@ -96,6 +96,7 @@
         state = self._ledger.state
         active = state.active.version
         staged = state.staged.snapshot if state.staged else None
+        self._history.active = active
         self._history.put(state.active)
         self._publish_keepers()
         if staged is not None:
--- a/medlarhoist/wire/snapshot_history.py
+++ b/medlarhoist/wire/snapshot_history.py
@@ -11,7 +11,7 @@
 
 from medlarhoist.core.delta import encode_changes
 from medlarhoist.core.digest import digest_of
-from medlarhoist.core.snapshot import Snapshot
+from medlarhoist.core.snapshot import EMPTY_SNAPSHOT, Snapshot
 from medlarhoist.wire.codec import encode
 from medlarhoist.wire.message import Delta, Stage
 
@@ -28,14 +28,20 @@
 
 
 class SnapshotHistory:
-    """The recent snapshots of a process by version, at most `MAX_SNAPSHOTS`."""
+    """The recent snapshots of a process by version, at most `MAX_SNAPSHOTS`.
 
-    __slots__ = ('_snapshots', '_messages')
+    Attributes:
+        active: the version that others may still ask for, however many later
+            ones were refused since; it is not evicted.
+    """
+
+    __slots__ = ('_snapshots', '_messages', 'active')
 
     def __init__(self) -> None:
         """Start empty."""
         self._snapshots: dict[int, CachedSnapshot] = {}
         self._messages: dict[tuple[int, int], Stage] = {}
+        self.active = EMPTY_SNAPSHOT.version
 
     def put(self, snapshot: Snapshot, digest: str = '') -> None:
         """Add a snapshot; the lowest versions are evicted beyond the limit.
@@ -57,7 +63,7 @@
             len(encode(snapshot)),
         )
         while len(self._snapshots) > MAX_SNAPSHOTS:
-            self._snapshots.pop(min(self._snapshots))
+            self._snapshots.pop(min(self._snapshots.keys() - {self.active}))
         self._evict_messages(snapshot.version)
 
     def get(self, version: int) -> Snapshot | None:
