Measure in the soak how long nodes are behind members

The soak of the distribution checked that no node goes back and that all converge at its end; a node that stays behind for seconds broke nothing there, which is one reason why this kind of fault was missed. It now measures the longest time for which a node had an older version than a member of its domain that it can connect to.

--- a/bench/distribution_links.py
+++ b/bench/distribution_links.py
@@ -44,6 +44,10 @@
         for address in self._blocked & set(self._channels):
             self._channels.pop(address).close()
 
+    def is_blocked(self, address: str) -> bool:
+        """Return whether connections to an address are refused."""
+        return address in self._blocked
+
     def heal(self) -> None:
         """Unblock all addresses."""
         self._blocked.clear()
--- a/bench/distribution_soak.py
+++ b/bench/distribution_soak.py
@@ -4,24 +4,31 @@
 lower version in force than before, even across its restarts, and all nodes
 must converge on the newest version once all partitions are healed. Runs of
 targets leave meanwhile; then, a late notice must not bring one of them back.
+How long a node was behind a member that it can connect to is measured.
 """
 
 import asyncio
 import sys
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from random import Random
 from typing import Final
 
 from loguru import logger
 
 from bench.calls_static import create_notice
-from bench.distribution_fleet import Fleet, run_fleet, wait_until
+from bench.distribution_fleet import (
+    Fleet,
+    NodeProcess,
+    run_fleet,
+    wait_until,
+)
 from medlarhoist.core.target import TargetNotice, TargetPhase
 
 DOMAINS: Final = ('a', 'b')
 NODES: Final = 5
 MAX_PAUSE_SECONDS: Final = 0.3
+SAMPLE_SECONDS: Final = 0.05
 BORN_MS: Final = 1_700_000_000_000
 # A notice may be late by seconds.
 MAX_LATE_SECONDS: Final = 30.0
@@ -34,8 +41,11 @@
     """A fleet under random faults, and the versions that its nodes served.
 
     Attributes:
+        behind: since when a node has been behind another one of its domain
+            that it can connect to, by both names.
         changes: number of versions staged.
         last_versions: last version that each node put in force.
+        longest_behind: longest of these times that has been seen, seconds.
         left: node, time and notice of each run that has left.
         regressions: descriptions of the cases in which a node went back to a
             lower version; empty if the fleet is correct.
@@ -45,10 +55,12 @@
     """
 
     __slots__ = (
+        'behind',
         'changes',
         'fleet',
         'last_versions',
         'left',
+        'longest_behind',
         'random',
         'regressions',
         'restarts',
@@ -57,10 +69,12 @@
 
     def __init__(self, fleet: Fleet, seed: int) -> None:
         """Prepare a soak; the seed determines the faults and pauses."""
+        self.behind: dict[tuple[str, str], float] = {}
         self.changes = 0
         self.fleet = fleet
         self.last_versions: dict[str, int] = {}
         self.left: list[tuple[str, float, TargetNotice]] = []
+        self.longest_behind: float = 0
         self.regressions: list[str] = []
         self.returned: list[str] = []
         self.random = Random(seed)
@@ -88,6 +102,37 @@
         self.last_versions[name] = version
 
 
+async def _measure_behind(soak: Soak) -> None:
+    while True:
+        await asyncio.sleep(SAMPLE_SECONDS)
+        now = time.monotonic()
+        soak.behind = {
+            pair: soak.behind.get(pair, now) for pair in _list_behind(soak)
+        }
+        since = min(soak.behind.values(), default=now)
+        soak.longest_behind = max(soak.longest_behind, now - since)
+
+
+def _list_behind(soak: Soak) -> Iterator[tuple[str, str]]:
+    """Yield each node with each member that it is behind and can reach."""
+    for name, node in soak.fleet.nodes.items():
+        for other_name, other in soak.fleet.nodes.items():
+            if _is_behind(node, other):
+                yield name, other_name
+
+
+def _is_behind(node: NodeProcess, other: NodeProcess) -> bool:
+    """Return whether a node has an older version than a member it can reach.
+
+    False where it has none, as it has just started.
+    """
+    if node.version is None or other.cfg.domain != node.cfg.domain:
+        return False
+    if node.channels.is_blocked(other.cfg.control):
+        return False
+    return (other.version or 0) > node.version
+
+
 async def _change(soak: Soak) -> None:
     if soak.fleet.log.state.staged is None:
         soak.changes += 1
@@ -174,7 +219,9 @@
 
     async def scenario(running: Fleet) -> None:  # noqa: WPS430
         await running.wait_until_in_force(0)
+        measuring = asyncio.ensure_future(_measure_behind(soak))
         await _inject(soak, seconds)
+        measuring.cancel()
         await _converge(soak)
         await _deliver_late_notices(soak)
 
@@ -223,7 +270,8 @@
         f'seed {seed}: {soak.changes} changes, {soak.restarts} restarts, '
         f'highest {max(soak.last_versions.values())}, '
         f'{len(soak.regressions)} versions went down, '
-        f'{len(soak.left)} runs left, {len(soak.returned)} came back\n'
+        f'{len(soak.left)} runs left, {len(soak.returned)} came back, '
+        f'longest behind {soak.longest_behind:.2f} s\n'
     )
 
 
