Confirm a version later while a whole domain lags

What callers saw: for up to 3 s after a version was confirmed, all nodes of one failure domain routed by the one before, in touch with the leader and with each other.

Cause: a version is in force in a domain once a majority of its keepers holds it. Where two of three fall silent as it is accepted (a freeze, a loss of power), the leader notices after 2.5 s, replaces them 1 s later, and the others have the version after 4.0 to 4.5 s. The operator was told after 1.5 s. Nodes of such a domain cannot help one another, so fetching from members does not cover it.

The wait for a domain in which no attached node has the version now lasts until 3.5 s after staging began, which is what staging and the wait may take together in any case, and less than operators wait for. For single nodes it stays at 1.5 s.

--- a/medlarhoist/source/distributor.py
+++ b/medlarhoist/source/distributor.py
@@ -23,12 +23,18 @@
 from medlarhoist.core.settings import SourceSettings
 from medlarhoist.source.distributor_children import Children
 from medlarhoist.source.distributor_plan import (
+    STAGE_TIMEOUT_SECONDS,
     DomainView,
     Progress,
     decide,
     progress_of,
 )
-from medlarhoist.source.in_force import InForceVersion, is_in_force
+from medlarhoist.source.in_force import (
+    MAX_LAG_SECONDS,
+    InForceVersion,
+    is_in_force,
+    lags_domain,
+)
 from medlarhoist.source.join import create_join_procedures, leader_address
 from medlarhoist.source.keepers import KeeperAssigner
 from medlarhoist.utils.clock import wall_ms
@@ -99,6 +105,7 @@
         '_children',
         '_ledger',
         '_staged_since',
+        '_staging_s',
         '_tasks',
         '_wake',
         'in_force',
@@ -124,6 +131,7 @@
         )
         self._ledger = ledger
         self._staged_since: tuple[int, float] = (0, 0)
+        self._staging_s = STAGE_TIMEOUT_SECONDS
         self._tasks: list[asyncio.Task[None]] = []
         self.in_force = InForceVersion()
         self.traffic = Traffic()
@@ -193,6 +201,7 @@
             await self._wait()
             if not self._ledger.is_leader:
                 self._staged_since = (0, 0)
+                self._staging_s = STAGE_TIMEOUT_SECONDS
                 self.in_force.record(0)
                 self._children.redirect_all(leader_address(self._ledger))
                 continue
@@ -218,10 +227,15 @@
         version = self._ledger.state.active.version
         if self.in_force.version >= version:
             return
-        if is_in_force(self._children.views(version, time.monotonic())):
+        views = self._children.views(version, time.monotonic())
+        if is_in_force(views):
             self.in_force.record(version)
-        else:
-            self.in_force.record_lag()
+            return
+        max_lag_s = MAX_LAG_SECONDS
+        if lags_domain(views):
+            # Both waits together stay below that of operators.
+            max_lag_s += max(0, STAGE_TIMEOUT_SECONDS - self._staging_s)
+        self.in_force.record_lag(max_lag_s)
 
     async def _decide_staged(self) -> None:
         state = self._ledger.state
@@ -245,11 +259,12 @@
                 exc,
             )
             return
+        self._staging_s = time.monotonic() - self._staged_since[1]
         logger.info(
             'distributor: version {} is {} after {:.2f} s',
             version,
             outcome.status,
-            time.monotonic() - self._staged_since[1],
+            self._staging_s,
         )
 
     async def _assign(self) -> None:
--- a/medlarhoist/source/in_force_test.py
+++ b/medlarhoist/source/in_force_test.py
@@ -4,7 +4,11 @@
 
 from medlarhoist.source import in_force as in_force_module
 from medlarhoist.source.distributor_plan import DomainView
-from medlarhoist.source.in_force import InForceVersion, is_in_force
+from medlarhoist.source.in_force import (
+    InForceVersion,
+    is_in_force,
+    lags_domain,
+)
 from medlarhoist.wire.message import Ack
 
 
@@ -61,6 +65,27 @@
     asyncio.run(scenario())
 
 
+def test_a_wait_is_extended_while_a_whole_domain_lags(monkeypatch):
+    monkeypatch.setattr(in_force_module, 'MAX_LAG_SECONDS', 0.05)
+
+    async def scenario():
+        in_force = InForceVersion()
+        wait = asyncio.ensure_future(in_force.wait_for(1))
+        await asyncio.sleep(0)
+        in_force.record_lag(60)
+        await asyncio.sleep(0.1)
+        assert not wait.done()
+        in_force.record(1)
+        assert await wait
+
+    asyncio.run(scenario())
+
+
+def test_a_domain_lags_if_none_of_its_attached_nodes_has_the_version():
+    assert lags_domain({'a': _view(1, 1), 'b': _view(0, 0)})
+    assert not lags_domain({'a': _view(1, 0), 'b': _view(), 'c': _view(1)})
+
+
 def test_a_repeated_request_does_not_restart_the_wait():
     """Operators repeat a request that has no response within a second."""
 
