--- a/bench/outdated_node_test.py
+++ b/bench/outdated_node_test.py
@@ -11,8 +11,10 @@
 
 from bench.distribution_fleet import Fleet, run_fleet, wait_until
 from medlarhoist.core.compile import compile_snapshot
+from medlarhoist.core.newer_versions import NewerVersions
 from medlarhoist.core.resource import Fault
 from medlarhoist.core.tree import rank_of
+from medlarhoist.node.catch_up import CatchUp
 from medlarhoist.node.downlink import Downlink
 from medlarhoist.wire.message import Redirect
 from medlarhoist.wire.snapshot_history import MAX_SNAPSHOTS
@@ -20,6 +22,7 @@
 # Time in which a version that is accepted must be in force.
 APPLY_SECONDS = 2.0
 NODES = 7
+LONG_SECONDS = 3600
 KEEPERS = 3
 
 
@@ -101,6 +104,10 @@
 async def _accept(fleet, names):
     """Accept a version and assert that nodes have it in force in time."""
     await fleet.activate(2)
+    await _await_in_time(fleet, names)
+
+
+async def _await_in_time(fleet, names):
     began = time.monotonic()
     await wait_until(
         lambda: all(fleet.nodes[name].version == 2 for name in names),
@@ -157,6 +164,45 @@
     _run(scenario)
 
 
+def test_members_that_do_not_answer_do_not_hold_up_a_version(
+    refused, monkeypatch
+):
+    """Each of them cost a second, as where a link is full."""
+    silent = set()
+    serve = CatchUp._serve
+    pop_teller = NewerVersions.pop_teller
+
+    async def serve_unless_silent(catch_up, stream):
+        if catch_up._cfg.control in silent:
+            await asyncio.sleep(LONG_SECONDS)
+        await serve(catch_up, stream)
+
+    def pop_silent_teller_first(newer, established, asked=()):
+        told = silent & newer._tellers.keys() - set(asked)
+        if told:
+            address = min(told)
+            newer._tellers.pop(address)
+            return address
+        return pop_teller(newer, established, asked)
+
+    monkeypatch.setattr(CatchUp, '_serve', serve_unless_silent)
+    monkeypatch.setattr(NewerVersions, 'pop_teller', pop_silent_teller_first)
+
+    async def scenario(fleet):
+        child = _others(fleet)[0]
+        members = [node for name, node in fleet.nodes.items() if name != child]
+        silent.update(node.cfg.control for node in members[:2])
+        refused.add(child)
+        _detach(fleet, child)
+        outdated = fleet.nodes[child].distribution._catch_up
+        await fleet.activate(2)
+        for node in members:
+            outdated._record(2, node.distribution._membership.local_member)
+        await _await_in_time(fleet, [child])
+
+    _run(scenario)
+
+
 def test_a_new_child_is_told_how_old_the_contact_of_its_parent_is(refused):
     """It would stay below parents without contact, 4 s at each of them."""
 
--- a/medlarhoist/core/newer_versions.py
+++ b/medlarhoist/core/newer_versions.py
@@ -5,6 +5,7 @@
 whoever has told it, whatever the tree does.
 """
 
+from collections.abc import Collection
 from typing import Final
 
 MAX_VERSIONS: Final = 32
@@ -65,21 +66,28 @@
         }
         return now - min(self._told_at.values(), default=now)
 
-    def pop_teller(self, established: int) -> str:
+    def pop_teller(
+        self,
+        established: int,
+        asked: Collection[str] = (),
+    ) -> str:
         """Return the member to fetch from, and discard it.
 
         The one with the highest version comes first, and the latest of these.
 
+        Args:
+            established: the version that is established at this node.
+            asked: members that are not asked again now.
+
         Returns:
             Its control address, empty if none is known to be newer.
         """
         newer = {
             teller: version
             for teller, version in reversed(self._tellers.items())
-            if version > established
+            if version > established and teller not in asked
         }
         if not newer:
-            self._tellers.clear()
             return ''
         teller = max(newer, key=newer.__getitem__)
         self._tellers.pop(teller)
--- a/medlarhoist/core/newer_versions_test.py
+++ b/medlarhoist/core/newer_versions_test.py
@@ -21,6 +21,14 @@
     assert tellers == ['c', 'b', 'a', 'd', '']
 
 
+def test_a_teller_that_is_being_asked_is_left_out(newer):
+    newer.record(5, 'a', 3, 0)
+    newer.record(4, 'b', 3, 0)
+    assert newer.pop_teller(3, asked=('a',)) == 'b'
+    assert newer.pop_teller(3, asked=('a',)) == ''
+    assert newer.pop_teller(3) == 'a'
+
+
 def test_tellers_that_are_no_newer_are_not_asked(newer):
     assert not newer.record(3, 'a', 3, 0)
     assert newer.record(4, 'b', 3, 0)
--- a/medlarhoist/node/catch_up.py
+++ b/medlarhoist/node/catch_up.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import time
+from contextlib import AsyncExitStack
 from typing import Any, Final
 
 from grpclib.const import Status
@@ -34,6 +35,10 @@
 # Sources and nodes send heartbeats each 0.8 and 0.5 s, so the contact of a node
 # below two others is no older while the tree works.
 FRESH_SECONDS: Final = 2.0
+HEDGE_SECONDS: Final = 0.3
+MAX_FETCHES: Final = 3
+# A reply may wait behind bodies on a full link.
+FETCH_TIMEOUT_SECONDS: Final = 3.0
 
 
 class CatchUp:
@@ -127,43 +132,65 @@
         await asyncio.sleep(max(0, TREE_SECONDS - behind_s))
 
     async def _fetch_newer(self) -> None:
-        """Ask the members that told of a newer version, until one has it."""
-        while True:
-            address = self._newer.pop_teller(self._configuration.established)
-            if not address:
-                return
-            await self._fetch(address)
+        """Fetch from the members that told of a newer version.
+
+        Another one is asked while the first ones do not reply, as their links
+        or that of this node may be full.
+        """
+        fetches: dict[str, asyncio.Task[None]] = {}
+        async with AsyncExitStack() as stack:
+            stack.push_async_callback(cancel_all, fetches.values())
+            while self._start_fetch(fetches):
+                await asyncio.wait(
+                    fetches.values(),
+                    timeout=HEDGE_SECONDS,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                _discard_ended(fetches)
+
+    def _start_fetch(self, fetches: dict[str, asyncio.Task[None]]) -> bool:
+        """Ask one more member; return whether there is anything to wait for."""
+        established = self._configuration.established
+        if not self._newer.seconds_behind(established, time.monotonic()):
+            return False
+        if len(fetches) < MAX_FETCHES:
+            address = self._newer.pop_teller(established, fetches)
+            if address:
+                fetches[address] = asyncio.ensure_future(self._fetch(address))
+        return bool(fetches)
 
     async def _fetch(self, address: str) -> None:
+        for is_whole in (False, True):
+            reply = await self._channels.try_call(
+                address,
+                CATCH_UP,
+                self._request(is_whole),
+                FETCH_TIMEOUT_SECONDS,
+            )
+            if reply is None or self._adopt(reply, address):
+                return
+
+    def _adopt(self, reply: CatchUpReply, address: str) -> bool:
+        """Apply a reply; return False if the complete snapshot is needed."""
         before = self._configuration.established
         behind_s = self._newer.seconds_behind(before, time.monotonic())
-        for is_whole in (False, True):
-            request = self._request(is_whole)
-            reply = await self._channels.try_call(address, CATCH_UP, request)
-            if reply is None or not self._adopt(reply):
-                break
-        established = self._configuration.established
-        if established == before:
-            return
-        self.count += 1
-        logger.bind(
-            member=address,
-            parent=self._uplink.parent,
-            leader_age_s=round(self._receiver.seconds_since_leader(), 2),
-            behind_s=round(behind_s, 2),
-        ).info('configuration: version {} was fetched', established)
-        self._uplink.mark_changed()
-        self._gossip.push(has_news=True)
-
-    def _adopt(self, reply: CatchUpReply) -> bool:
-        """Apply a reply; return whether the whole snapshot is needed."""
-        established = reply.established
-        if established.version <= self._configuration.established:
-            return False
-        if reply.stage is not None and self._receiver.stage(reply.stage):
+        if reply.established.version <= before:
             return True
-        self._receiver.establish(established)
-        return False
+        if reply.stage is not None and self._receiver.stage(reply.stage):
+            return False
+        self._receiver.establish(reply.established)
+        established = self._configuration.established
+        if established > before:
+            self.count += 1
+            logger.bind(
+                member=address,
+                parent=self._uplink.parent,
+                leader_age_s=round(self._receiver.seconds_since_leader(), 2),
+                behind_s=round(behind_s, 2),
+            ).info('configuration: version {} was fetched', established)
+            self._uplink.mark_changed()
+            self._gossip.push(has_news=True)
+        return True
 
     def _request(self, is_whole: bool) -> CatchUpRequest:
         version = 0 if is_whole else self._configuration.established
@@ -203,3 +230,9 @@
         if not self._uplink.parent:
             return False
         return self._receiver.seconds_since_leader() < FRESH_SECONDS
+
+
+def _discard_ended(fetches: dict[str, asyncio.Task[None]]) -> None:
+    for address, fetch in tuple(fetches.items()):
+        if fetch.done():
+            fetches.pop(address)
--- a/medlarhoist/wire/channels.py
+++ b/medlarhoist/wire/channels.py
@@ -48,19 +48,28 @@
             self._channels.pop(oldest).close()
         return channel
 
-    async def try_call(self, address: str, method: Method, request: Any) -> Any:
+    async def try_call(
+        self,
+        address: str,
+        method: Method,
+        request: Any,
+        timeout_s: float | None = None,
+    ) -> Any:
         """Call a procedure and return the reply, or None if the call failed.
 
-        A call without a reply within `REPLY_TIMEOUT_SECONDS` also closes the
-        channel.
+        A call without a reply in time also closes the channel.
 
         Args:
             address: host:port of the process's control listener.
             method: the procedure to call.
             request: the message to send.
+            timeout_s: time for the reply, seconds; None for
+                `REPLY_TIMEOUT_SECONDS`.
         """
+        if timeout_s is None:
+            timeout_s = REPLY_TIMEOUT_SECONDS
         try:
-            async with asyncio.timeout(REPLY_TIMEOUT_SECONDS):
+            async with asyncio.timeout(timeout_s):
                 return await call(self.get(address), method, request)
         except TimeoutError:
             self.drop(address)
