Fetch a version at once where the clock has not advanced

Whether a node is behind was asked as seconds since it was told, which are zero in the instant of the packet where the clock stands still, as in simulated time. Then nothing was fetched until the next packet. The new test holds the case.

--- a/medlarhoist/core/newer_versions.py
+++ b/medlarhoist/core/newer_versions.py
@@ -54,6 +54,10 @@
             self._tellers.pop(next(iter(self._tellers)))
         return True
 
+    def is_behind(self, established: int) -> bool:
+        """Return whether this node was told of a version that it lacks."""
+        return any(version > established for version in self._told_at)
+
     def seconds_behind(self, established: int, now: float) -> float:
         """Return the seconds since this node was first told of a newer version.
 
--- a/medlarhoist/core/newer_versions_test.py
+++ b/medlarhoist/core/newer_versions_test.py
@@ -45,6 +45,13 @@
     assert newer.seconds_behind(5, 13) == 0
 
 
+def test_a_node_is_behind_from_the_moment_at_which_it_is_told(newer):
+    newer.record(4, 'a', 3, 10)
+    assert newer.seconds_behind(3, 10) == 0
+    assert newer.is_behind(3)
+    assert not newer.is_behind(4)
+
+
 def test_what_is_held_is_bounded_and_keeps_the_first_version(newer):
     for version in range(100):
         newer.record(version, f'a{version}', 0, version)
--- a/medlarhoist/node/catch_up.py
+++ b/medlarhoist/node/catch_up.py
@@ -151,7 +151,7 @@
     def _start_fetch(self, fetches: dict[str, asyncio.Task[None]]) -> bool:
         """Ask one more member; return whether there is anything to wait for."""
         established = self._configuration.established
-        if not self._newer.seconds_behind(established, time.monotonic()):
+        if not self._newer.is_behind(established):
             return False
         if len(fetches) < MAX_FETCHES:
             address = self._newer.pop_teller(established, fetches)
