--- a/medlarhoist/node/catch_up.py
+++ b/medlarhoist/node/catch_up.py
@@ -160,6 +160,7 @@
         return bool(fetches)
 
     async def _fetch(self, address: str) -> None:
+        """Fetch as a delta, and whole if that does not fit what is held here."""
         for is_whole in (False, True):
             reply = await self._channels.try_call(
                 address,
--- a/medlarhoist/source/in_force.py
+++ b/medlarhoist/source/in_force.py
@@ -61,7 +61,7 @@
         The first call since the last record() starts the bound of the wait.
 
         Args:
-            max_lag_s: the bound, seconds.
+            max_lag_s: the bound, seconds; that of the last call counts.
         """
         now = asyncio.get_running_loop().time()
         self._lagging_since = min(self._lagging_since, now)
--- a/medlarhoist/wire/snapshot_history.py
+++ b/medlarhoist/wire/snapshot_history.py
@@ -46,6 +46,8 @@
     def put(self, snapshot: Snapshot, digest: str = '') -> None:
         """Add a snapshot; the lowest versions are evicted beyond the limit.
 
+        The active one is kept.
+
         Replaces a different snapshot of the same version.
 
         Args:
