Write once what the fetches of versions wrote again

Behaviour stays as it is. The callback for established versions had an argument that nobody reads any more. A reply that is no newer computes nothing; what follows a fetched version is a method of its own. The times behind members are local to the function that measures them. Three tests of fleets started them alike and share one function; no assertion has changed.

--- a/bench/distribution_soak.py
+++ b/bench/distribution_soak.py
@@ -41,11 +41,10 @@
     """A fleet under random faults, and the versions that its nodes served.
 
     Attributes:
-        behind: since when a node has been behind another one of its domain
-            that it can connect to, by both names.
         changes: number of versions staged.
         last_versions: last version that each node put in force.
-        longest_behind: longest of these times that has been seen, seconds.
+        longest_behind: longest time for which a node was behind a member of
+            its domain that it can connect to, seconds.
         left: node, time and notice of each run that has left.
         regressions: descriptions of the cases in which a node went back to a
             lower version; empty if the fleet is correct.
@@ -55,7 +54,6 @@
     """
 
     __slots__ = (
-        'behind',
         'changes',
         'fleet',
         'last_versions',
@@ -69,7 +67,6 @@
 
     def __init__(self, fleet: Fleet, seed: int) -> None:
         """Prepare a soak; the seed determines the faults and pauses."""
-        self.behind: dict[tuple[str, str], float] = {}
         self.changes = 0
         self.fleet = fleet
         self.last_versions: dict[str, int] = {}
@@ -103,13 +100,12 @@
 
 
 async def _measure_behind(soak: Soak) -> None:
+    behind: dict[tuple[str, str], float] = {}
     while True:
         await asyncio.sleep(SAMPLE_SECONDS)
         now = time.monotonic()
-        soak.behind = {
-            pair: soak.behind.get(pair, now) for pair in _list_behind(soak)
-        }
-        since = min(soak.behind.values(), default=now)
+        behind = {pair: behind.get(pair, now) for pair in _list_behind(soak)}
+        since = min(behind.values(), default=now)
         soak.longest_behind = max(soak.longest_behind, now - since)
 
 
--- a/bench/domain_fleet.py
+++ b/bench/domain_fleet.py
@@ -1,4 +1,4 @@
-"""Domain fleet: a fleet of several failure domains that has joined."""
+"""Domain fleet: waits until the failure domains of a fleet have joined."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -10,6 +10,20 @@
 KEEPERS: Final = 3
 
 
+async def converge(fleet: Fleet) -> None:
+    """Wait until domain `a` has its keepers and all nodes have version 1.
+
+    Args:
+        fleet: a running fleet in which no version was accepted yet.
+    """
+    await fleet.wait_until_in_force(0)
+    await wait_until(
+        lambda: len(fleet.log.state.keepers['a'].members) == KEEPERS
+    )
+    await fleet.activate(1)
+    await fleet.wait_until_in_force(1)
+
+
 def run_domains(
     nodes_per_domain: int,
     scenario: Callable[[Fleet], Awaitable[None]],
--- a/bench/outdated_domain_test.py
+++ b/bench/outdated_domain_test.py
@@ -9,6 +9,7 @@
 import pytest
 
 from bench.distribution_fleet import Fleet, run_fleet, wait_until
+from bench.domain_fleet import KEEPERS, converge
 from medlarhoist.core.command import Activate
 from medlarhoist.node.keeper import Keeper
 from medlarhoist.node.keeper_loop import KeeperLoop
@@ -17,7 +18,6 @@
 
 # Time in which a version that is confirmed must be in force.
 APPLY_SECONDS = 2.0
-KEEPERS = 3
 NODES = 7
 LONG_SECONDS = 3600
 WORK = (
@@ -56,20 +56,12 @@
     monkeypatch.setattr(owner, method, work_unless_frozen)
 
 
-def _keepers(fleet):
-    keepers = fleet.log.state.keepers.get('a')
-    return keepers.members if keepers else {}
-
-
 def test_a_version_is_in_force_in_time_where_most_keepers_freeze(frozen):
     """It was confirmed 2.5 to 3 s before the domain had other keepers."""
 
     async def scenario(fleet):
-        await fleet.wait_until_in_force(0)
-        await wait_until(lambda: len(_keepers(fleet)) == KEEPERS)
-        await fleet.activate(1)
-        await fleet.wait_until_in_force(1)
-        failing = sorted(_keepers(fleet))[: KEEPERS - 1]
+        await converge(fleet)
+        failing = sorted(fleet.log.state.keepers['a'].members)[: KEEPERS - 1]
 
         def freeze_at_acceptance(command, outcome):
             if isinstance(command, Activate) and command.version == 2:
--- a/bench/outdated_node_test.py
+++ b/bench/outdated_node_test.py
@@ -10,6 +10,7 @@
 import pytest
 
 from bench.distribution_fleet import Fleet, run_fleet, wait_until
+from bench.domain_fleet import KEEPERS, converge
 from medlarhoist.core.compile import compile_snapshot
 from medlarhoist.core.newer_versions import NewerVersions
 from medlarhoist.core.resource import Fault
@@ -23,7 +24,6 @@
 APPLY_SECONDS = 2.0
 NODES = 7
 LONG_SECONDS = 3600
-KEEPERS = 3
 
 
 @pytest.fixture(name='refused')
@@ -51,10 +51,7 @@
         fleet.add_node('b', 0, compile_function)
 
     async def main(running):
-        await running.wait_until_in_force(0)
-        await wait_until(lambda: len(_keepers(running)) == KEEPERS)
-        await running.activate(1)
-        await running.wait_until_in_force(1)
+        await converge(running)
         await wait_until(lambda: _has_members(running))
         await scenario(running)
 
--- a/bench/silent_parent_test.py
+++ b/bench/silent_parent_test.py
@@ -10,6 +10,7 @@
 import pytest
 
 from bench.distribution_fleet import Fleet, run_fleet, wait_until
+from bench.domain_fleet import converge
 from medlarhoist.wire.message import Established
 from medlarhoist.wire.session import Session
 
@@ -57,13 +58,6 @@
     return fleet
 
 
-async def _converge(fleet):
-    await fleet.wait_until_in_force(0)
-    await wait_until(lambda: len(fleet.log.state.keepers['a'].members) == 3)
-    await fleet.activate(1)
-    await fleet.wait_until_in_force(1)
-
-
 def _child(fleet):
     """Return a node whose parent is another node."""
     keepers = fleet.log.state.keepers['a'].members
@@ -74,7 +68,7 @@
 
 def test_a_version_reaches_the_children_of_a_silent_parent(silence):
     async def scenario(fleet):
-        await _converge(fleet)
+        await converge(fleet)
         child = _child(fleet)
         silence.armed.add(child.cfg.name)
         await wait_until(lambda: not silence.armed)
@@ -90,7 +84,7 @@
     """It accepts the connection, as the kernel of a frozen process does."""
 
     async def scenario(fleet):
-        await _converge(fleet)
+        await converge(fleet)
         server = await asyncio.start_server(_ignore, '127.0.0.1', 0)
         port = server.sockets[0].getsockname()[1]
         child = _child(fleet)
--- a/medlarhoist/node/catch_up.py
+++ b/medlarhoist/node/catch_up.py
@@ -91,7 +91,7 @@
 
     def start(self) -> None:
         """Exchange versions with the members, and fetch newer ones."""
-        self._gossip.read_version = self._read_version
+        self._gossip.read_version = lambda: self._configuration.established
         self._gossip.on_version = self._record
         self._tasks = [asyncio.ensure_future(self._run())]
 
@@ -174,25 +174,31 @@
     def _adopt(self, reply: CatchUpReply, address: str) -> bool:
         """Apply a reply; return False if the complete snapshot is needed."""
         before = self._configuration.established
-        behind_s = self._newer.seconds_behind(before, time.monotonic())
         if reply.established.version <= before:
             return True
+        behind_s = self._newer.seconds_behind(before, time.monotonic())
         if reply.stage is not None and self._receiver.stage(reply.stage):
             return False
         self._receiver.establish(reply.established)
-        established = self._configuration.established
-        if established > before:
-            self.count += 1
-            logger.bind(
-                member=address,
-                parent=self._uplink.parent,
-                leader_age_s=round(self._receiver.seconds_since_leader(), 2),
-                behind_s=round(behind_s, 2),
-            ).info('configuration: version {} was fetched', established)
-            self._uplink.mark_changed()
-            self._gossip.push(has_news=True)
+        if self._configuration.established > before:
+            self._record_fetched(address, behind_s)
         return True
 
+    def _record_fetched(self, address: str, behind_s: float) -> None:
+        """Log a version that a member has sent, and tell others of it."""
+        self.count += 1
+        logger.bind(
+            member=address,
+            parent=self._uplink.parent,
+            leader_age_s=round(self._receiver.seconds_since_leader(), 2),
+            behind_s=round(behind_s, 2),
+        ).info(
+            'configuration: version {} was fetched',
+            self._configuration.established,
+        )
+        self._uplink.mark_changed()
+        self._gossip.push(has_news=True)
+
     def _request(self, is_whole: bool) -> CatchUpRequest:
         version = 0 if is_whole else self._configuration.established
         return CatchUpRequest(
@@ -213,9 +219,6 @@
             CatchUpReply(established=established, stage=stage)
         )
 
-    def _read_version(self) -> int:
-        return self._configuration.established
-
     def _record(self, version: int, member: Member) -> None:
         is_newer = self._newer.record(
             version,
--- a/medlarhoist/node/distribution.py
+++ b/medlarhoist/node/distribution.py
@@ -205,7 +205,7 @@
             for member in live_members(self._membership)
         }
 
-    def _send_established(self, version: int) -> None:
+    def _send_established(self) -> None:
         self._downlink.send_established()
         self._uplink.mark_changed()
 
--- a/medlarhoist/node/keeper_loop.py
+++ b/medlarhoist/node/keeper_loop.py
@@ -51,7 +51,7 @@
         configuration: Configuration,
         keeper: Keeper,
         leader: Callable[[], str],
-        on_established: Callable[[int], None],
+        on_established: Callable[[], None],
     ) -> None:
         """Create the loop; `start` runs it.
 
@@ -62,7 +62,7 @@
             keeper: its state as a keeper.
             leader: returns the control address of the leader of the sources,
                 empty if it is unknown.
-            on_established: called with each version that this keeper
+            on_established: called after each version that this keeper
                 establishes.
         """
         self._cfg = cfg
@@ -167,4 +167,4 @@
             return
         if self._configuration.establish(state.established):
             self._keeper.state = state
-            self._on_established(state.established)
+            self._on_established()
--- a/medlarhoist/wire/snapshot_history.py
+++ b/medlarhoist/wire/snapshot_history.py
@@ -46,9 +46,7 @@
     def put(self, snapshot: Snapshot, digest: str = '') -> None:
         """Add a snapshot; the lowest versions are evicted beyond the limit.
 
-        The active one is kept.
-
-        Replaces a different snapshot of the same version.
+        The active one is never evicted. Replaces a different snapshot of the same version.
 
         Args:
             snapshot: the snapshot to add.
