Add client accounts and domain drains to the configuration

Cause: customers with accounts and keys, and operators who empty a failure domain, need records that no configuration could hold.

Accounts hold digests of keys only. A drain of a domain is an order of its own: a complete configuration that omits it keeps it. The content schema is 3, so a source refuses to stage for nodes that would ignore these records.

--- a/medlarhoist/core/check.py
+++ b/medlarhoist/core/check.py
@@ -14,6 +14,8 @@
 
 from medlarhoist.core.resource import (
     CALLERS,
+    Account,
+    DomainDrain,
     Fault,
     Limits,
     Route,
@@ -31,14 +33,21 @@
 PRIORITY_LIMIT: Final = 1000
 HEAD_LIMIT_BYTES: Final = 1_048_576
 BODY_LIMIT_BYTES: Final = 1_099_511_627_776
+RATE_LIMIT: Final = 1_000_000_000
+DOMAIN_LIMIT_CHARS: Final = 256
+ACCOUNT_LIMIT_CHARS: Final = 256
 RECORD_CACHE_SIZE: Final = 32_768
 
+_KEY_DIGEST: Final = re.compile('[0-9a-f]{64}')
 _NAME: Final = re.compile(r'[a-z0-9][a-z0-9.-]{0,62}')
 _PREFIX: Final = re.compile(r"/|(/[A-Za-z0-9._~!$&'()*+,;=:@%-]+)+/?")
 _HOST: Final = re.compile('([a-z0-9_-]+[.])*[a-z0-9_-]+')
 _NAME_RULE: Final = 'lower-case letters, digits, dots and dashes, at most 63'
 
 Messages = tuple[str, ...]
+SnapshotRecord = (
+    Service | Route | TargetVersion | Limits | Account | DomainDrain
+)
 
 
 class DefinedNames(Struct, frozen=True):
@@ -55,6 +64,7 @@
 
 
 _ReferenceCheck = Callable[[Any, DefinedNames], Messages]
+_FieldCheck = Callable[[Any], Messages]
 
 
 def check_snapshot(snapshot: Snapshot) -> tuple[Fault, ...]:
@@ -76,13 +86,21 @@
         ),
         *_check_shares(snapshot.shares, names),
         *_check_each('limits', snapshot.limits, _check_no_references, names),
+        *_check_each('account', snapshot.accounts, _check_no_references, names),
+        *_check_each(
+            'domain-drain',
+            snapshot.domain_drains,
+            _check_no_references,
+            names,
+        ),
         *_check_unique_prefixes(snapshot.routes),
+        *_check_unique_keys(snapshot.accounts),
     ]
     return tuple(faults)
 
 
 def check_record(
-    record: Service | Route | TargetVersion | Limits,
+    record: SnapshotRecord,
     names: DefinedNames,
 ) -> Messages:
     """Return the faults of a record's own fields and of its references.
@@ -119,7 +137,7 @@
     return (f'{field}: {name!r} is no name ({_NAME_RULE})',)
 
 
-def check_range(field: str, number: int, low: int, high: int) -> Messages:
+def check_range(field: str, number: float, low: int, high: int) -> Messages:
     """Return a message if a number is not in low..high, both inclusive."""
     if low <= number <= high:
         return ()
@@ -146,14 +164,8 @@
 
 
 @lru_cache(maxsize=RECORD_CACHE_SIZE)
-def _check_fields(record: Service | Route | TargetVersion | Limits) -> Messages:
-    if isinstance(record, Service):
-        return _check_service(record)
-    if isinstance(record, Route):
-        return _check_route(record)
-    if isinstance(record, Limits):
-        return _check_limits(record)
-    return _check_target_version(record)
+def _check_fields(record: SnapshotRecord) -> Messages:
+    return _FIELD_CHECKS[type(record)](record)
 
 
 def _check_service(service: Service) -> Messages:
@@ -221,6 +233,29 @@
     return (*messages, f'name: {limits.name!r} is not {CALLERS!r}')
 
 
+def _check_account(account: Account) -> Messages:
+    messages = (
+        *_check_text('name', account.name, ACCOUNT_LIMIT_CHARS),
+        *check_range('rate', account.rate, 0, RATE_LIMIT),
+        *check_range('burst', account.burst, 0, RATE_LIMIT),
+    )
+    if account.priority is not None:
+        messages += check_range('priority', account.priority, 0, PRIORITY_LIMIT)
+    if all(_KEY_DIGEST.fullmatch(digest) for digest in account.key_digests):
+        return messages
+    return (*messages, 'key_digests: not 64 lower-case hexadecimal digits')
+
+
+def _check_domain_drain(drain: DomainDrain) -> Messages:
+    return _check_text('name', drain.name, DOMAIN_LIMIT_CHARS)
+
+
+def _check_text(field: str, text: str, limit: int) -> Messages:
+    if text.isprintable() and 0 < len(text) <= limit:
+        return ()
+    return (f'{field}: empty, not printable or longer than {limit}',)
+
+
 def _check_timeout(field: str, time_ms: int) -> Messages:
     return check_range(field, time_ms, 1, TIMEOUT_LIMIT_MS)
 
@@ -259,7 +294,9 @@
     )
 
 
-def _check_no_references(limits: Limits, names: DefinedNames) -> Messages:
+def _check_no_references(
+    record: Limits | Account | DomainDrain, names: DefinedNames
+) -> Messages:
     return ()
 
 
@@ -310,9 +347,30 @@
             yield Fault(source=f'route/{route.name}', message=message)
 
 
+def _check_unique_keys(accounts: Iterable[Account]) -> Iterator[Fault]:
+    owners: dict[str, str] = {}
+    for account in accounts:
+        for digest in account.key_digests:
+            owner = owners.setdefault(digest, account.name)
+            if owner != account.name:
+                message = f'key_digests: shares a key with account/{owner}'
+                source = f'account/{account.name}'
+                yield Fault(source=source, message=message)
+
+
+_FIELD_CHECKS: Final[dict[type, _FieldCheck]] = {
+    Service: _check_service,
+    Route: _check_route,
+    TargetVersion: _check_target_version,
+    Limits: _check_limits,
+    Account: _check_account,
+    DomainDrain: _check_domain_drain,
+}
 _REFERENCE_CHECKS: Final[dict[type, _ReferenceCheck]] = {
     Service: _check_service_references,
     Route: _check_route_references,
     TargetVersion: _check_target_version_references,
     Limits: _check_no_references,
+    Account: _check_no_references,
+    DomainDrain: _check_no_references,
 }
--- a/medlarhoist/core/check_changed.py
+++ b/medlarhoist/core/check_changed.py
@@ -14,7 +14,7 @@
     Difference,
     SnapshotDifference,
 )
-from medlarhoist.core.resource import Limits, Route, Service, TargetVersion
+from medlarhoist.core.resource import Route, Service, TargetVersion
 from medlarhoist.core.snapshot import Share, Snapshot
 
 _NAME: Final = attrgetter('name')
@@ -68,6 +68,8 @@
     yield from difference.routes.put
     yield from difference.target_versions.put
     yield from difference.limits.put
+    yield from difference.accounts.put
+    yield from difference.domain_drains.put
     deleted = _deleted_services(services, difference.services)
     if deleted:
         for route in snapshot.routes:
@@ -128,9 +130,8 @@
         return (record.name,)
     if isinstance(record, Route):
         return record.services
-    if isinstance(record, Limits):
-        return ()
-    return (str(record.service),)
+    service = getattr(record, 'service', None)
+    return () if service is None else (str(service),)
 
 
 def _versions_of(record: Any) -> tuple[str, ...]:
--- a/medlarhoist/core/compile.py
+++ b/medlarhoist/core/compile.py
@@ -5,7 +5,7 @@
 and nowhere else.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from operator import attrgetter
 from typing import Any, Final
 
@@ -23,7 +23,13 @@
     digest_sum_after,
     digest_sum_of,
 )
-from medlarhoist.core.resource import Fault, Limits, Route, Service
+from medlarhoist.core.resource import (
+    Account,
+    Fault,
+    Limits,
+    Route,
+    Service,
+)
 from medlarhoist.core.snapshot import SCHEMA, Share, Snapshot
 
 # Number of put records, in addition to the number of routes in the base, up to
@@ -39,11 +45,13 @@
         services: services by name.
         routes: routes by host and prefix.
         shares: shares by service.
+        accounts: client accounts by the digests of their keys.
     """
 
     services: dict[str, Service]
     routes: dict[tuple[str, str], Route]
     shares: dict[str, Share]
+    accounts: dict[str, Account]
 
 
 class Compiled:
@@ -58,11 +66,15 @@
         without_current_version: names of the services that have no current
             version yet.
         limits: limits for callers, the defaults if the snapshot has none.
+        accounts: client accounts by the digests of their keys.
+        drained_domains: failure domains whose targets receive no calls.
     """
 
     __slots__ = (
         '_digest_sum',
+        'accounts',
         'digest',
+        'drained_domains',
         'limits',
         'routes',
         'services',
@@ -94,6 +106,10 @@
         self.routes = tables.routes
         self.services = tables.services
         self.shares = tables.shares
+        self.accounts = tables.accounts
+        self.drained_domains = frozenset(
+            drain.name for drain in snapshot.domain_drains
+        )
         self.without_current_version = frozenset(
             service.name for service in snapshot.services if not service.current
         )
@@ -185,7 +201,7 @@
     difference = compare_snapshots(base.snapshot, snapshot)
     if _is_mostly_new(base.snapshot, difference):
         return compile_snapshot(snapshot)
-    indexes = _update_indexes(base, difference)
+    indexes = _update_indexes(base, snapshot, difference)
     if not _is_valid(snapshot, indexes, difference):
         return compile_snapshot(snapshot)
     digest_sum = digest_sum_after(base.digest_sum, difference)
@@ -216,9 +232,18 @@
         services={_name(service): service for service in snapshot.services},
         routes={_prefix(route): route for route in snapshot.routes},
         shares={_service(share): share for share in snapshot.shares},
+        accounts=_index_accounts(snapshot.accounts),
     )
 
 
+def _index_accounts(accounts: Iterable[Account]) -> dict[str, Account]:
+    return {
+        digest: account
+        for account in accounts
+        for digest in account.key_digests
+    }
+
+
 def _parent(prefix: str) -> str:
     """Return the path up to and including its last slash."""
     return prefix[: prefix.rfind('/') + 1]
@@ -235,9 +260,13 @@
     indexes: Indexes,
     difference: SnapshotDifference,
 ) -> bool:
-    # The index has fewer entries than routes if two share host and prefix.
+    # The index has fewer entries than routes if two share host and prefix,
+    # and fewer than keys if two accounts share one.
     if len(indexes.routes) != len(snapshot.routes):
         return False
+    digests = sum(len(item.key_digests) for item in snapshot.accounts)
+    if len(indexes.accounts) != digests:
+        return False
     return is_valid_after(
         snapshot,
         indexes.services,
@@ -246,11 +275,20 @@
     )
 
 
-def _update_indexes(base: Compiled, difference: SnapshotDifference) -> Indexes:
+def _update_indexes(
+    base: Compiled,
+    snapshot: Snapshot,
+    difference: SnapshotDifference,
+) -> Indexes:
     return Indexes(
         services=_update_index(base.services, difference.services, _name),
         routes=_update_index(base.routes, difference.routes, _prefix),
         shares=_update_index(base.shares, difference.shares, _service),
+        accounts=(
+            _index_accounts(snapshot.accounts)
+            if difference.accounts.put or difference.accounts.gone
+            else base.accounts
+        ),
     )
 
 
--- a/medlarhoist/core/compile_diff.py
+++ b/medlarhoist/core/compile_diff.py
@@ -47,17 +47,13 @@
     target_versions: Difference
     shares: Difference
     limits: Difference
+    accounts: Difference
+    domain_drains: Difference
 
     @property
     def kinds(self) -> tuple[Difference, ...]:
         """Return the difference of each kind."""
-        return (
-            self.services,
-            self.routes,
-            self.target_versions,
-            self.shares,
-            self.limits,
-        )
+        return tuple(getattr(self, name) for name in self.__struct_fields__)
 
     @property
     def ordered(self) -> bool:
@@ -85,6 +81,12 @@
         ),
         shares=_compare(before.shares, after.shares, _SERVICE),
         limits=_compare(before.limits, after.limits, _NAME),
+        accounts=_compare(before.accounts, after.accounts, _NAME),
+        domain_drains=_compare(
+            before.domain_drains,
+            after.domain_drains,
+            _NAME,
+        ),
     )
 
 
--- a/medlarhoist/core/delta.py
+++ b/medlarhoist/core/delta.py
@@ -11,6 +11,8 @@
 from msgspec import DecodeError, Struct, ValidationError, msgpack
 
 from medlarhoist.core.resource import (
+    Account,
+    DomainDrain,
     Fault,
     Limits,
     Route,
@@ -33,11 +35,15 @@
         target_versions: target versions put.
         shares: shares put.
         limits: limits put.
+        accounts: client accounts put.
+        domain_drains: drains of failure domains put.
         gone_services: names of deleted services.
         gone_routes: names of deleted routes.
         gone_target_versions: names of deleted target versions.
         gone_shares: names of the services whose shares were deleted.
         gone_limits: names of deleted limits records.
+        gone_accounts: names of deleted client accounts.
+        gone_domain_drains: names of deleted drains of failure domains.
     """
 
     version: int
@@ -47,11 +53,15 @@
     target_versions: tuple[TargetVersion, ...] = ()
     shares: tuple[Share, ...] = ()
     limits: tuple[Limits, ...] = ()
+    accounts: tuple[Account, ...] = ()
+    domain_drains: tuple[DomainDrain, ...] = ()
     gone_services: tuple[str, ...] = ()
     gone_routes: tuple[str, ...] = ()
     gone_target_versions: tuple[str, ...] = ()
     gone_shares: tuple[str, ...] = ()
     gone_limits: tuple[str, ...] = ()
+    gone_accounts: tuple[str, ...] = ()
+    gone_domain_drains: tuple[str, ...] = ()
 
 
 _DECODER: Final = msgpack.Decoder(SnapshotChanges)
@@ -68,6 +78,8 @@
     versions = _compare(base.target_versions, result.target_versions, _name)
     shares = _compare(base.shares, result.shares, _service_name)
     limits = _compare(base.limits, result.limits, _name)
+    accounts = _compare(base.accounts, result.accounts, _name)
+    drains = _compare(base.domain_drains, result.domain_drains, _name)
     changes = SnapshotChanges(
         version=result.version,
         schema=result.schema,
@@ -76,11 +88,15 @@
         target_versions=versions[0],
         shares=shares[0],
         limits=limits[0],
+        accounts=accounts[0],
+        domain_drains=drains[0],
         gone_services=services[1],
         gone_routes=routes[1],
         gone_target_versions=versions[1],
         gone_shares=shares[1],
         gone_limits=limits[1],
+        gone_accounts=accounts[1],
+        gone_domain_drains=drains[1],
     )
     return _ENCODER.encode(changes)
 
@@ -124,6 +140,15 @@
             base.shares, changes.shares, changes.gone_shares, _service_name
         ),
         limits=_merge(base.limits, changes.limits, changes.gone_limits, _name),
+        accounts=_merge(
+            base.accounts, changes.accounts, changes.gone_accounts, _name
+        ),
+        domain_drains=_merge(
+            base.domain_drains,
+            changes.domain_drains,
+            changes.gone_domain_drains,
+            _name,
+        ),
     )
 
 
--- a/medlarhoist/core/digest.py
+++ b/medlarhoist/core/digest.py
@@ -57,6 +57,8 @@
         snapshot.target_versions,
         snapshot.shares,
         snapshot.limits,
+        snapshot.accounts,
+        snapshot.domain_drains,
     )
     return _sum_digests(records) % _MODULUS
 
--- a/medlarhoist/core/resource.py
+++ b/medlarhoist/core/resource.py
@@ -23,6 +23,8 @@
     TARGET_VERSION = 'target-version'
     MOVE = 'move'
     LIMITS = 'limits'
+    ACCOUNT = 'account'
+    DOMAIN_DRAIN = 'domain-drain'
 
 
 class Service(Struct, frozen=True, kw_only=True, tag='service'):
@@ -74,6 +76,8 @@
         objective_ms: latency objective of a call, in milliseconds; zero for
             the timeout.
         priority: rank of its calls, zero for the highest.
+        anonymous: whether its calls need no key of a client account, also
+            where the configuration has accounts.
     """
 
     name: str
@@ -86,6 +90,7 @@
     timeout_ms: int = 5000
     objective_ms: int = 0
     priority: int = 0
+    anonymous: bool = False
 
     @property
     def services(self) -> tuple[str, ...]:
@@ -152,13 +157,50 @@
     idle_timeout_ms: int = 75_000
 
 
-Resource = Service | Route | TargetVersion | Move | Limits
+class Account(Struct, frozen=True, kw_only=True, tag='account'):
+    """A client account, whose callers identify themselves by a key.
+
+    Args:
+        name: unique among accounts; targets receive it with each request.
+        key_digests: SHA-256 digests of the keys, 64 hexadecimal digits each.
+            The keys themselves are never stored with the account.
+        priority: rank of its calls, takes precedence over that of the route;
+            None for that of the route.
+        rate: requests per second that all nodes together accept, zero for no
+            limit.
+        burst: requests that may be accepted beyond the rate.
+    """
+
+    name: str
+    key_digests: tuple[str, ...] = ()
+    priority: int | None = None
+    rate: float = 0
+    burst: float = 0
+
+
+class DomainDrain(Struct, frozen=True, kw_only=True, tag='domain-drain'):
+    """An order that the targets of a failure domain receive no more calls.
+
+    The order holds from its acceptance until it is deleted.
+
+    Args:
+        name: name of the failure domain.
+    """
+
+    name: str
+
+
+Resource = (
+    Service | Route | TargetVersion | Move | Limits | Account | DomainDrain
+)
 RESOURCE_KINDS: Final = {
     Service: Kind.SERVICE,
     Route: Kind.ROUTE,
     TargetVersion: Kind.TARGET_VERSION,
     Move: Kind.MOVE,
     Limits: Kind.LIMITS,
+    Account: Kind.ACCOUNT,
+    DomainDrain: Kind.DOMAIN_DRAIN,
 }
 
 
--- a/medlarhoist/core/snapshot.py
+++ b/medlarhoist/core/snapshot.py
@@ -9,9 +9,16 @@
 
 from msgspec import Struct
 
-from medlarhoist.core.resource import Limits, Route, Service, TargetVersion
-
-SCHEMA: Final = 2
+from medlarhoist.core.resource import (
+    Account,
+    DomainDrain,
+    Limits,
+    Route,
+    Service,
+    TargetVersion,
+)
+
+SCHEMA: Final = 3
 FULL_SHARE: Final = 10_000
 
 
@@ -47,6 +54,8 @@
         target_versions: every target version.
         shares: traffic split of each service with a running move.
         limits: limits for callers, at most one record.
+        accounts: every client account.
+        domain_drains: the failure domains whose targets receive no calls.
     """
 
     version: int
@@ -56,6 +65,8 @@
     target_versions: tuple[TargetVersion, ...] = ()
     shares: tuple[Share, ...] = ()
     limits: tuple[Limits, ...] = ()
+    accounts: tuple[Account, ...] = ()
+    domain_drains: tuple[DomainDrain, ...] = ()
 
 
 EMPTY_SNAPSHOT: Final = Snapshot(version=0)
--- a/medlarhoist/parser/manifest.py
+++ b/medlarhoist/parser/manifest.py
@@ -18,7 +18,9 @@
 from medlarhoist.core.compile import DEFAULT_LIMITS
 from medlarhoist.core.resource import (
     DEFAULT_ATTEMPTS,
+    Account,
     Change,
+    DomainDrain,
     Fault,
     Limits,
     Move,
@@ -101,6 +103,7 @@
     timeout: Duration = '5s'
     objective: Duration | None = None
     priority: Priority = 0
+    anonymous: bool = False
 
 
 class LimitsManifest(_Manifest, frozen=True, kw_only=True, tag='limits'):
@@ -112,6 +115,27 @@
     idle_timeout: Duration = '75s'
 
 
+class AccountManifest(_Manifest, frozen=True, kw_only=True, tag='account'):
+    """A client account, see `core.resource.Account`."""
+
+    name: str
+    key_digests: tuple[str, ...] = ()
+    priority: Priority | None = None
+    rate: float = 0
+    burst: float = 0
+
+
+class DomainDrainManifest(
+    _Manifest,
+    frozen=True,
+    kw_only=True,
+    tag='domain-drain',
+):
+    """A drain of a failure domain, see `core.resource.DomainDrain`."""
+
+    name: str
+
+
 class TargetVersionManifest(
     _Manifest,
     frozen=True,
@@ -144,6 +168,8 @@
     | TargetVersionManifest
     | MoveManifest
     | LimitsManifest
+    | AccountManifest
+    | DomainDrainManifest
 )
 
 
@@ -226,6 +252,16 @@
             service=manifest.service,
             label=manifest.label,
         )
+    if isinstance(manifest, AccountManifest):
+        return Account(
+            name=manifest.name,
+            key_digests=manifest.key_digests,
+            priority=manifest.priority,
+            rate=manifest.rate,
+            burst=manifest.burst,
+        )
+    if isinstance(manifest, DomainDrainManifest):
+        return DomainDrain(name=manifest.name)
     return _build_move(manifest, now_ms)
 
 
@@ -244,6 +280,7 @@
         timeout_ms=parse_duration(manifest.timeout) or 0,
         objective_ms=parse_duration(manifest.objective or '') or 0,
         priority=manifest.priority,
+        anonymous=manifest.anonymous,
     )
 
 
--- a/medlarhoist/source/transition_apply.py
+++ b/medlarhoist/source/transition_apply.py
@@ -130,6 +130,8 @@
         target_versions=tuple(sorted_by_kind['target-version']),
         shares=tuple(shares),
         limits=tuple(sorted_by_kind['limits']),
+        accounts=tuple(sorted_by_kind['account']),
+        domain_drains=tuple(sorted_by_kind['domain-drain']),
     )
 
 
--- a/medlarhoist/source/transition_replace.py
+++ b/medlarhoist/source/transition_replace.py
@@ -10,6 +10,7 @@
 
 from medlarhoist.core.command import Apply, Outcome, Replace, Status
 from medlarhoist.core.resource import (
+    DomainDrain,
     Fault,
     Kind,
     Move,
@@ -137,8 +138,14 @@
 
 
 def _is_kept(entry: Entry, entries: Entries) -> bool:
-    """Return whether a target version or move is kept, as its service is."""
+    """Return whether a record stays that a complete configuration omits.
+
+    Drains of domains are orders of their own. A target version or move is
+    kept as long as its service is.
+    """
     resource = entry.resource
+    if isinstance(resource, DomainDrain):
+        return True
     if not isinstance(resource, (TargetVersion, Move)):
         return False
     return f'{Kind.SERVICE}/{resource.service}' in entries
