Wait for the nodes of a domain that comes back before keepers are replaced

Cause: when a cut of a whole domain healed, the leader named a keeper set from the first node that it heard of, 0.17 s after the cut: a set of one, which gave up three keepers that were alive. The domain then had no version until that one node was replaced 4 s later, longer than a version may take.

Change: a forced set waits 1 s after the first report of a node, unless enough nodes have been reported. A domain whose other nodes were never away does not wait. A command is still applied exactly once.

--- a/medlarhoist/source/keepers.py
+++ b/medlarhoist/source/keepers.py
@@ -16,7 +16,12 @@
 # Longer than the interval in which a keeper, or the node itself, reports each
 # live node.
 CANDIDATE_TIMEOUT_SECONDS: Final = 2.5
+# Time in which the nodes of a domain that comes up are reported after the
+# first of them.
 FIRST_SET_WAIT_SECONDS: Final = 0.5
+# The same for a domain that comes back from a cut. Its nodes try to join with
+# a growing delay, and its keepers may attach again meanwhile.
+FORCED_SET_WAIT_SECONDS: Final = 1.0
 
 
 class Candidate:
@@ -94,12 +99,19 @@
         """
         current = self._ledger.state.keepers.get(domain)
         candidates = self._live_candidates(domain)
-        if current is None and not self._can_create_first_set(domain):
-            return
         planned = plan_keepers(
             domain, current, self._keeper_count, candidates, views
         )
-        if planned is not None:
+        if planned is None:
+            return
+        if current is None:
+            may_commit = self._has_waited(domain, FIRST_SET_WAIT_SECONDS)
+        elif planned.forced:
+            # A single node would be the whole quorum of a domain of many.
+            may_commit = self._has_waited(domain, FORCED_SET_WAIT_SECONDS)
+        else:
+            may_commit = True
+        if may_commit:
             await self._commit(planned)
 
     async def _commit(self, planned: KeeperSet) -> None:
@@ -132,8 +144,13 @@
         newest = sorted(nodes, key=lambda node: (-nodes[node].last_seen, node))
         return {node: nodes[node].address for node in newest}
 
-    def _can_create_first_set(self, domain: str) -> bool:
-        """Return whether enough nodes joined or the wait for more is over."""
+    def _has_waited(self, domain: str, seconds: float) -> bool:
+        """Return whether enough nodes joined or the wait for more is over.
+
+        Args:
+            domain: the failure domain.
+            seconds: how long to wait after the first report of a live node.
+        """
         now = self._clock()
         nodes = self._candidates.get(domain, {})
         if len(nodes) >= self._keeper_count:
@@ -141,4 +158,4 @@
         first = min(
             (candidate.first_seen for candidate in nodes.values()), default=now
         )
-        return now - first >= FIRST_SET_WAIT_SECONDS
+        return now - first >= seconds
--- a/medlarhoist/source/ledger_test.py
+++ b/medlarhoist/source/ledger_test.py
@@ -104,13 +104,32 @@
         return self.find_leader()
 
     async def propose(self, command):
-        """Propose a command to the leader, again while there is none."""
+        """Propose a command until it is applied, which happens once.
+
+        A leader that loses its office does not know whether it is. Then the
+        state behind a barrier of the next leader tells.
+        """
         while True:
             leader = await self.leader()
+            expected = leader.state.last_version + command.version
             try:
                 return await leader.propose(command)
             except NotLeader:
                 await asyncio.sleep(0.05)
+            except OutcomeUnknown:
+                if await self.read_version() == expected:
+                    return Outcome(status=Status.ACCEPTED, version=expected)
+
+    async def read_version(self):
+        """Return the last version, read behind a barrier of a leader."""
+        while True:
+            leader = await self.leader()
+            try:
+                await leader.read_barrier()
+            except (NotLeader, OutcomeUnknown):
+                await asyncio.sleep(0.05)
+            else:
+                return leader.state.last_version
 
 
 async def _free_ports(names):
