--- a/bench/crowd.py
+++ b/bench/crowd.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from collections.abc import Iterable
-from contextlib import AsyncExitStack, suppress
+from contextlib import suppress
 from typing import Final
 
 # A client that the node reads no further counts as done after this time.
@@ -37,7 +37,7 @@
             finally:
                 receiving.cancel()
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Reset the connection, whatever is unsent."""
         if self._writer is not None:
             self._writer.transport.abort()
@@ -64,12 +64,15 @@
     """
     host, _, port = address.partition(':')
     clients = [Client(payload) for payload in payloads]
-    async with AsyncExitStack() as stack:
-        for client in clients:
-            stack.push_async_callback(client.close)
-        await asyncio.gather(
-            *(client.run(host, int(port)) for client in clients)
-        )
+    try:
+        await asyncio.gather(*(each.run(host, int(port)) for each in clients))
+    finally:
+        _close_all(clients)
+
+
+def _close_all(clients: Iterable[Client]) -> None:
+    for client in clients:
+        client.close()
 
 
 def chunked_body(size: int, chunk: int, *, is_complete: bool) -> bytes:
