Serve requests that callers send ahead side by side

Callers may send further requests before the response to the first. They were read one after the other, so that each waited for all before it.

A connection of the entry listener now has up to 8 requests in progress. Their responses are kept, 64 KiB a connection, and sent in order; reading pauses beyond it. A request that must not run twice, or whose caller waits to be asked for its body, waits until all before it are answered: a response that closes the connection makes its caller send it again. A response that breaks off before anything of it was sent is replaced by a failure while others are behind it, as a reset would end these too. The time of a call counts from its own head, and one whose deadline passed before its turn is refused with 503, as it has not run.

Refusals are written without a wait, so a caller that reads nothing could fill the memory of its node with them. Reading now pauses while writes wait, and such a connection is reset after the idle timeout.

--- a/bench/calls_raw.py
+++ b/bench/calls_raw.py
@@ -1,6 +1,7 @@
 """Calls raw: callers and targets of tests that read and write raw HTTP."""
 
 import asyncio
+import re
 
 from bench.calls_mesh import Mesh, format_request_head
 
@@ -8,6 +9,14 @@
 _HEAD_END = b'\r\n\r\n'
 
 
+async def open_caller(
+    mesh: Mesh,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Connect to the first node of a mesh."""
+    port = mesh.nodes[0].dump().entry_port
+    return await asyncio.open_connection('127.0.0.1', port)
+
+
 async def open_post(
     mesh: Mesh,
     lines: tuple[str, ...],
@@ -20,8 +29,7 @@
         lines: header lines, one of which declares the framing of the body.
         path: path of the request.
     """
-    port = mesh.nodes[0].dump().entry_port
-    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    reader, writer = await open_caller(mesh)
     writer.write(format_request_head('POST', path, 'r', lines))
     await writer.drain()
     return reader, writer
@@ -36,6 +44,30 @@
     return int(head.split(b' ')[1]), head.lower()
 
 
+async def read_response(
+    reader: asyncio.StreamReader,
+) -> tuple[int, bytes, bytes]:
+    """Return the status, the lower-case head and the body of a response."""
+    status, head = await read_response_head(reader)
+    declared = re.search(rb'content-length: (\d+)', head)
+    if declared is None:
+        return status, head, await _read_chunks(reader)
+    return status, head, await reader.readexactly(int(declared[1]))
+
+
+async def read_responses(
+    reader: asyncio.StreamReader,
+) -> list[tuple[int, bytes, bytes]]:
+    """Return the responses of a connection until it ends or is reset."""
+    responses = []
+    try:
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                responses.append(await read_response(reader))
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return responses
+
+
 async def read_request(reader: asyncio.StreamReader) -> tuple[bytes, bytes]:
     """Return the head and the body of the next request."""
     head = await reader.readuntil(_HEAD_END)
--- a/medlarhoist/node/metrics.py
+++ b/medlarhoist/node/metrics.py
@@ -60,6 +60,15 @@
     doc='Requests that were no HTTP.',
     family=Family.COUNTER,
 )
+CALLS_READ_AHEAD: Final = Metric(
+    name='calls_read_ahead_total',
+    doc='Calls read while earlier ones of their connection were in progress.',
+    family=Family.COUNTER,
+)
+CONNECTION_CALLS_PEAK: Final = Metric(
+    name='connection_calls_peak',
+    doc='Most calls in progress at once on a connection, 0 with none read ahead.',
+)
 MISMATCHED_RESPONSES: Final = Metric(
     name='crossed_answers_total',
     doc='Answers that did not belong to their request.',
@@ -122,6 +131,8 @@
     LATENCY_SUM,
     CALL_RETRIES,
     MALFORMED_REQUESTS,
+    CALLS_READ_AHEAD,
+    CONNECTION_CALLS_PEAK,
     MISMATCHED_RESPONSES,
     MALFORMED_RESPONSES,
     SLOTS,
@@ -189,6 +200,8 @@
     for metric, number in (
         (CALL_RETRIES, proxy.retries),
         (MALFORMED_REQUESTS, proxy.malformed),
+        (CALLS_READ_AHEAD, proxy.read_ahead),
+        (CONNECTION_CALLS_PEAK, proxy.read_ahead_peak),
         (MISMATCHED_RESPONSES, proxy.crossed),
         (MALFORMED_RESPONSES, proxy.malformed_responses),
         (SLOTS, proxy.slots),
--- a/medlarhoist/node/metrics_test.py
+++ b/medlarhoist/node/metrics_test.py
@@ -51,6 +51,8 @@
     entry_connections=4,
     peer_connections=5,
     malformed=0,
+    read_ahead=8,
+    read_ahead_peak=5,
     retries=6,
     crossed=0,
     malformed_responses=0,
@@ -90,6 +92,8 @@
     assert 'medlarhoist_slots_used 3' in rendered
     assert 'medlarhoist_target_rate_limit 12.5' in rendered
     assert 'medlarhoist_connections{listener="peer"} 5' in rendered
+    assert 'medlarhoist_calls_read_ahead_total 8' in rendered
+    assert 'medlarhoist_connection_calls_peak 5' in rendered
     assert 'direction="sent",kind="Hello"} 90' in rendered
     assert '"refused"' in rendered
     assert 'medlarhoist_suspect_requests{state="quarantined"} 1' in rendered
--- a/medlarhoist/node/proxy/call.py
+++ b/medlarhoist/node/proxy/call.py
@@ -1,7 +1,5 @@
 """Call: the state of one caller's call at its entry node."""
 
-import time
-
 from medlarhoist.core.admission import CallRequirements
 from medlarhoist.core.deadline import objective_time, start_deadline
 from medlarhoist.core.header_names import (
@@ -86,7 +84,7 @@
         label: str,
         header_names: HeaderNames,
     ) -> None:
-        """Start a call whose deadline counts from now.
+        """Start a call whose deadline counts from the request's head.
 
         Args:
             exchange: the request of the caller.
@@ -102,7 +100,7 @@
         self.service = service
         self.label = label
         self.fallback_label = label
-        self.started = time.monotonic()
+        self.started = exchange.received_at
         self.deadline = start_deadline(
             self.started,
             find_header(head.headers, header_names.deadline),
--- a/medlarhoist/node/proxy/entry.py
+++ b/medlarhoist/node/proxy/entry.py
@@ -12,11 +12,13 @@
 
 from medlarhoist.core.balance import SelectionContext
 from medlarhoist.core.budget import RetryBudgets
+from medlarhoist.core.compile import Compiled
 from medlarhoist.core.header_names import (
     find_parent_id,
     read_request_id,
 )
 from medlarhoist.core.headers import find_header
+from medlarhoist.core.resource import Route
 from medlarhoist.core.retry import is_retryable
 from medlarhoist.core.route_average import RouteAverages
 from medlarhoist.core.split import Splitter
@@ -32,6 +34,7 @@
 from medlarhoist.node.proxy.exchange import Exchange
 from medlarhoist.node.proxy.forwarded import ForwardedCall
 from medlarhoist.node.proxy.parts import ProxyParts
+from medlarhoist.node.proxy.reader import Head
 from medlarhoist.node.proxy.relay import refuse, relay
 from medlarhoist.node.proxy.remote import read_reported_condition
 from medlarhoist.node.proxy.response import Response
@@ -50,6 +53,7 @@
     'target failed',
     502,
 )
+_TOO_LATE: Final = Failure(Verdict.DID_NOT_RUN, 'deadline was over')
 _STOPPING: Final = Failure(Verdict.DID_NOT_RUN, 'node is stopping')
 
 
@@ -97,6 +101,8 @@
         A call without a route is refused, and so is every call while the node
         is draining or has no configuration.
         """
+        if exchange.turn is not None and not self._may_run_ahead(exchange):
+            await exchange.turn
         compiled = self._parts.configuration.active
         if self.is_draining:
             self._refuse_unrouted(exchange, _STOPPING)
@@ -104,10 +110,7 @@
         if compiled is None:
             self._refuse_unrouted(exchange, _NO_CONFIGURATION)
             return
-        head = exchange.head
-        host = find_header(head.headers, b'host') or b''
-        url = head.url.decode('latin-1')
-        route = compiled.match(url, host.decode('latin-1'))
+        route = _find_route(compiled, exchange.head)
         if route is None:
             self._refuse_unrouted(exchange, _NO_ROUTE)
             return
@@ -138,7 +141,27 @@
         log_unrouted(caller_id, failure, active.version if active else 0)
         refuse(exchange, failure)
 
+    def _may_run_ahead(self, exchange: Exchange) -> bool:
+        """Return whether to serve a request before its turn.
+
+        An earlier response that closes the connection makes its caller send
+        the request again, so it must be one that may run twice, or is refused.
+        One whose caller waits to be asked for the body is asked at its turn.
+        """
+        compiled = self._parts.configuration.active
+        if exchange.body.ask_sender is not None:
+            return False
+        if compiled is None:
+            return True
+        route = _find_route(compiled, exchange.head)
+        return route is None or route.idempotent
+
     async def _serve_call(self, exchange: Exchange, call: Call) -> None:
+        now = time.monotonic()
+        if call.deadline <= now:
+            log_end(call, _TOO_LATE.status, _TOO_LATE.reason, now)
+            refuse(exchange, _TOO_LATE)
+            return
         self._budgets.add_call(call.service)
         try:
             async with asyncio.timeout_at(call.deadline):
@@ -357,3 +380,8 @@
             self._route_averages.record(call.route.name, took_s, size)
         outcome = 'answered' if is_whole else 'cut'
         log_end(call, response.head.status, outcome, time.monotonic())
+
+
+def _find_route(compiled: Compiled, head: Head) -> Route | None:
+    host = find_header(head.headers, b'host') or b''
+    return compiled.match(head.url.decode('latin-1'), host.decode('latin-1'))
--- a/medlarhoist/node/proxy/exchange.py
+++ b/medlarhoist/node/proxy/exchange.py
@@ -1,12 +1,14 @@
 """Exchange: one request on an accepted connection and its response."""
 
+import asyncio
 from collections.abc import Iterable
 from typing import Final, Protocol
 
 from medlarhoist.core.head_check import Framing
 from medlarhoist.core.headers import Header
-from medlarhoist.node.proxy.body import Body
+from medlarhoist.node.proxy.body import Body, IncompleteBody
 from medlarhoist.node.proxy.head import (
+    CLOSE,
     LAST_CHUNK,
     REASON_PHRASES,
     write_chunk,
@@ -14,15 +16,11 @@
 )
 from medlarhoist.node.proxy.reader import Head
 
-CLOSE: Final = (b'connection', b'close')
 _NO_BODY_STATUS: Final = frozenset((204, 304))
 
 
-class Connection(Protocol):
-    """The accepted connection of an exchange, as the exchange uses it."""
-
-    def set_reading(self, is_on: bool) -> None:
-        """Resume reading from the connection (True) or pause it (False)."""
+class ResponseWriter(Protocol):
+    """Where the response of an exchange is written."""
 
     def will_keep_alive(self, exchange: 'Exchange') -> bool:
         """Return whether the connection stays open after the response."""
@@ -43,8 +41,15 @@
     def finish(self, exchange: 'Exchange') -> None:
         """Send the buffered bytes and continue with the next request."""
 
-    def reset(self) -> None:
-        """Close the connection at once with a TCP reset."""
+    def break_off(self, exchange: 'Exchange') -> None:
+        """End a response that cannot be completed."""
+
+
+class Connection(ResponseWriter, Protocol):
+    """The accepted connection of an exchange, as the exchange uses it."""
+
+    def set_reading(self, is_on: bool) -> None:
+        """Resume reading from the connection (True) or pause it (False)."""
 
 
 class Exchange:
@@ -53,26 +58,68 @@
     Args:
         head: head of the request.
         body: body of the request, which may still be arriving.
+        received_at: when the head was received, seconds of the monotonic
+            clock.
+        turn: done once the responses to all earlier requests of the
+            connection are complete; None if there was none in progress.
+        task: serves the request, None before it starts.
         started: whether the response has begun.
         finished: whether the response is complete.
+        will_close: whether the response says that the connection closes.
     """
 
-    __slots__ = ('_conn', '_framing', 'body', 'finished', 'head', 'started')
-
-    def __init__(self, conn: Connection, head: Head) -> None:
+    __slots__ = (
+        '_framing',
+        '_writer',
+        'body',
+        'finished',
+        'head',
+        'received_at',
+        'started',
+        'task',
+        'turn',
+        'will_close',
+    )
+
+    def __init__(
+        self,
+        conn: Connection,
+        head: Head,
+        received_at: float,
+    ) -> None:
         """Start an exchange whose body has not been received.
 
         Args:
             conn: the connection that the request was received on.
             head: head of the request.
+            received_at: when it was received, seconds of the monotonic clock.
         """
-        self._conn = conn
+        self._writer: ResponseWriter = conn
         self._framing = Framing()
+        self.received_at = received_at
+        self.turn: asyncio.Future[None] | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.will_close = False
         self.head = head
         self.body = Body(conn.set_reading)
         self.started = False
         self.finished = False
 
+    def attach(self, writer: ResponseWriter) -> None:
+        """Write the rest of the response to another place.
+
+        Args:
+            writer: the connection, or what keeps the response until the
+                earlier ones are complete.
+        """
+        self._writer = writer
+
+    def cancel(self) -> None:
+        """End the request, as its sender is gone."""
+        self.body.fail(IncompleteBody())
+        if self.task is not None:
+            self.task.cancel()
+
     def start(
         self,
         status: int,
@@ -93,12 +140,15 @@
         """
         self.started = True
         fields = list(headers)
-        if not self._conn.will_keep_alive(self):
+        if not self._writer.will_keep_alive(self):
+            self.will_close = True
             fields.append(CLOSE)
         if self.head.is_old and framing.chunked:
             framing = Framing()
         phrase = REASON_PHRASES.get(status, b'') if reason is None else reason
-        self._conn.buffer(write_response_head(status, phrase, fields, framing))
+        self._writer.buffer(
+            write_response_head(status, phrase, fields, framing)
+        )
         has_no_body = self.head.method == b'HEAD' or status in _NO_BODY_STATUS
         self._framing = Framing() if has_no_body else framing
 
@@ -106,14 +156,14 @@
         """Send a piece of the body; wait while too many bytes are unsent."""
         if self._framing.chunked:
             piece = write_chunk(piece)
-        await self._conn.write(piece)
+        await self._writer.write(piece)
 
     def finish(self) -> None:
         """Send the end of the response."""
         if self._framing.chunked:
-            self._conn.buffer(LAST_CHUNK)
+            self._writer.buffer(LAST_CHUNK)
         self.finished = True
-        self._conn.finish(self)
+        self._writer.finish(self)
 
     def respond(
         self,
@@ -130,18 +180,23 @@
         """
         self.start(status, headers, Framing(len(content), declared=True))
         if self.head.method != b'HEAD':
-            self._conn.buffer(content)
+            self._writer.buffer(content)
         self.finish()
 
     def flush(self) -> None:
         """Send the buffered bytes."""
-        self._conn.flush()
+        self._writer.flush()
 
     @property
     def is_write_blocked(self) -> bool:
         """Return whether writes wait, as the remote end reads too slowly."""
-        return self._conn.is_write_blocked
+        return self._writer.is_write_blocked
 
     def abort(self) -> None:
-        """Reset the connection, which marks the response as incomplete."""
-        self._conn.reset()
+        """End a response that cannot be completed.
+
+        The connection is reset, which marks the response as incomplete. If
+        none of it has been sent while later requests are in progress, it is
+        replaced by a failure.
+        """
+        self._writer.break_off(self)
--- a/medlarhoist/node/proxy/head.py
+++ b/medlarhoist/node/proxy/head.py
@@ -25,6 +25,7 @@
 from medlarhoist.node.proxy.reader import Head, ParserCallbacks
 
 CHUNKED_LINE: Final = b'transfer-encoding: chunked\r\n'
+CLOSE: Final = (b'connection', b'close')
 LAST_CHUNK: Final = b'0\r\n\r\n'
 REASON_PHRASES: Final = {
     status.value: status.phrase.encode() for status in HTTPStatus
@@ -153,6 +154,18 @@
     return start + _write_fields(headers, framing)
 
 
+def write_fault(fault: HeadFault) -> bytes:
+    """Return the response to a malformed head, which closes the connection."""
+    content = fault.reason.encode()
+    head = write_response_head(
+        fault.status,
+        REASON_PHRASES[fault.status],
+        (CLOSE,),
+        Framing(len(content), declared=True),
+    )
+    return head + content
+
+
 def write_chunk(piece: bytes) -> bytes:
     """Return one chunk of a body in chunked transfer coding."""
     return b'%x\r\n%b\r\n' % (len(piece), piece)
--- a/medlarhoist/node/proxy/listener.py
+++ b/medlarhoist/node/proxy/listener.py
@@ -10,6 +10,7 @@
 
 from medlarhoist.core.compile import DEFAULT_LIMITS
 from medlarhoist.core.resource import Limits
+from medlarhoist.node.proxy.ahead import ReadAheadCounts
 from medlarhoist.node.proxy.server import FindLimits, Serve, ServerConnection
 
 BACKLOG: Final = 1024
@@ -44,6 +45,9 @@
     Args:
         connections: the open connections.
         is_draining: whether connections close after their current request.
+        reads_ahead: whether requests are served while earlier ones of their
+            connection are in progress.
+        read_ahead: counts of such requests.
         malformed_requests: number of malformed or too large requests.
         find_limits: returns the limits in force for received requests.
         port: port that it listens on, zero before the start.
@@ -58,19 +62,29 @@
         'find_limits',
         'is_draining',
         'port',
+        'read_ahead',
+        'reads_ahead',
     )
 
     def __init__(
         self,
         serve: Serve,
         find_limits: FindLimits = default_limits,
+        *,
+        reads_ahead: bool = False,
     ) -> None:
         """Create a listener; start makes it listen.
 
         Args:
-            serve: coroutine function that handles each request.
+            serve: coroutine function that handles each request. It awaits the
+                turn of one that must not run before earlier ones of its
+                connection are answered.
             find_limits: returns the limits in force for received requests.
+            reads_ahead: whether requests are served while earlier ones of
+                their connection are in progress.
         """
+        self.reads_ahead = reads_ahead
+        self.read_ahead = ReadAheadCounts()
         self._serve = serve
         self.find_limits = find_limits
         self._server: asyncio.Server | None = None
--- a/medlarhoist/node/proxy/proxy.py
+++ b/medlarhoist/node/proxy/proxy.py
@@ -46,6 +46,10 @@
         entry_connections: open connections of callers.
         peer_connections: open connections of other nodes.
         malformed: requests refused as malformed or too large.
+        read_ahead: requests of callers that were read while earlier ones of
+            their connection were in progress.
+        read_ahead_peak: most requests ever in progress on one connection;
+            zero before one was read ahead.
         retries: attempts after the first attempt of a call.
         crossed: responses that did not belong to their request.
         malformed_responses: responses that were no HTTP, or had bytes after
@@ -71,6 +75,8 @@
     entry_connections: int
     peer_connections: int
     malformed: int
+    read_ahead: int
+    read_ahead_peak: int
     retries: int
     crossed: int
     malformed_responses: int
@@ -130,7 +136,11 @@
         self._cfg = cfg
         self._parts = parts
         self._entry_service = EntryService(parts)
-        self._entry = Listener(self._entry_service.serve, self._find_limits)
+        self._entry = Listener(
+            self._entry_service.serve,
+            self._find_limits,
+            reads_ahead=True,
+        )
         self._peer = Listener(peer_service.serve, lambda: PEER_LIMITS)
         self._sweeper: asyncio.Task[None] | None = None
 
@@ -236,6 +246,8 @@
             peer_connections=len(self._peer.connections),
             malformed=self._entry.malformed_requests
             + self._peer.malformed_requests,
+            read_ahead=self._entry.read_ahead.total,
+            read_ahead_peak=self._entry.read_ahead.peak,
             retries=self._entry_service.retries,
             crossed=self._parts.local.mismatched
             + self._parts.remote.mismatched,
--- a/medlarhoist/node/proxy/server.py
+++ b/medlarhoist/node/proxy/server.py
@@ -1,41 +1,41 @@
-"""Server: the HTTP/1.x connections that a listener accepts."""
+"""Server: the HTTP/1.x connections that a listener accepts.
+
+The first request in progress is served on the connection itself. Those that
+were sent before its response is complete are kept in node.proxy.ahead.
+"""
 
 import asyncio
-import select
-import socket
-import struct
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any, Final, Protocol
 
 from loguru import logger
 
-from medlarhoist.core.head_check import Framing, HeadFault
+from medlarhoist.core.head_check import HeadFault
 from medlarhoist.core.resource import Limits
+from medlarhoist.node.proxy.ahead import (
+    ReadAhead,
+    ReadAheadOwner,
+    replace_response,
+)
 from medlarhoist.node.proxy.body import (
     READ_BYTES,
     BodyTooLarge,
     IncompleteBody,
 )
-from medlarhoist.node.proxy.exchange import CLOSE, Exchange
-from medlarhoist.node.proxy.head import (
-    REASON_PHRASES,
-    parse_request_head,
-    write_response_head,
-)
+from medlarhoist.node.proxy.exchange import Exchange
+from medlarhoist.node.proxy.head import parse_request_head, write_fault
 from medlarhoist.node.proxy.reader import Head, MessageReader, Phase
-from medlarhoist.node.proxy.sockets import poll_events
-
-CLOSE_LINGER_S: Final = 1.0
-# Callers that send for longer after their response are cut off.
-MAX_CLOSE_LINGER_S: Final = 10.0
-# Well below half a second, after which no request may start for a caller that
-# has left.
-DISCONNECT_CHECK_S: Final = 0.1
+from medlarhoist.node.proxy.sockets import (
+    DisconnectCheck,
+    close_gracefully,
+    has_unread_bytes,
+    is_disconnected,
+    reset_connection,
+)
+
 CONNECTION_LIMIT: Final = 4096
 _MS_PER_SECOND: Final = 1000
-_RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
-_DISCONNECTED: Final = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -43,31 +43,33 @@
 FindLimits = Callable[[], Limits]
 
 
-class ConnectionOwner(Protocol):
+class ConnectionOwner(ReadAheadOwner, Protocol):
     """The listener that a connection was accepted by.
 
     Args:
         connections: the open connections.
-        is_draining: whether connections close after their current request.
         malformed_requests: number of malformed or too large requests.
         find_limits: returns the limits in force for received requests.
     """
 
     connections: set['ServerConnection']
-    is_draining: bool
     malformed_requests: int
     find_limits: FindLimits
 
 
 class ServerConnection(asyncio.Protocol):  # noqa: WPS214  a protocol
-    """An accepted connection, which serves one request at a time."""
+    """An accepted connection and its requests in progress."""
 
     __slots__ = (
+        '_ahead',
         '_disconnect_check',
         '_exchange',
+        '_fault',
+        '_has_sent',
+        '_last',
         '_reader',
+        '_received_at',
         '_serve',
-        '_task',
         '_transport',
         '_waiting_since',
         '_writable',
@@ -92,13 +94,19 @@
             limits.body_bytes,
             limits.head_bytes,
         )
+        # The first request in progress and the last that was read.
         self._exchange: Exchange | None = None
-        self._task: asyncio.Task[None] | None = None
+        self._last: Exchange | None = None
+        self._ahead = ReadAhead(listener)
+        # A fault behind the requests in progress.
+        self._fault: HeadFault | None = None
+        # Whether bytes of the response to the first request were sent.
+        self._has_sent = False
+        self._received_at = float()
         self._transport: Any = None
+        self._disconnect_check = DisconnectCheck(None)
         self._write_buffer: list[bytes] = []
         self._writable: asyncio.Future[None] | None = None
-        # Set while reading is paused, as the loop reports no disconnect then.
-        self._disconnect_check: asyncio.TimerHandle | None = None
         # When the wait for a request, or for the rest of its head, began.
         self._waiting_since = time.monotonic()
 
@@ -113,6 +121,7 @@
     def connection_made(self, transport: Any) -> None:
         """Register with the listener, or abort at CONNECTION_LIMIT."""
         self._transport = transport
+        self._disconnect_check = DisconnectCheck(transport)
         transport.max_size = READ_BYTES
         if len(self.listener.connections) >= CONNECTION_LIMIT:
             transport.abort()
@@ -120,22 +129,22 @@
         self.listener.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel the request in progress, as its sender disconnected."""
+        """Cancel the requests in progress, as their sender disconnected."""
         self.listener.connections.discard(self)
         if self._exchange is not None:
-            self._exchange.body.fail(IncompleteBody())
-        if self._task is not None:
-            self._task.cancel()
+            self._exchange.cancel()
+        self._ahead.cancel()
         if self._writable is not None and not self._writable.done():
             self._writable.cancel()
 
     def data_received(self, received: bytes) -> None:
-        """Parse received bytes; pause reading after a pipelined request."""
+        """Parse received bytes, also requests behind the one in progress."""
+        self._received_at = time.monotonic()
         if self._exchange is None and not self._reader.has_bytes:
-            self._waiting_since = time.monotonic()
+            self._waiting_since = self._received_at
         self._reader.feed(received)
         if self._reader.phase is Phase.PAUSED and self._reader.has_bytes:
-            self.set_reading(False)
+            self._read_ahead()
 
     def eof_received(self) -> bool:
         """Close also after a half-close, which counts as a disconnect."""
@@ -150,67 +159,81 @@
         if self._writable is not None and not self._writable.done():
             self._writable.set_result(None)
         self._writable = None
+        if self._reader.phase is Phase.PAUSED:
+            self._resume_reading()
 
     # Called by the message reader.
 
     def on_head(self, head: Head) -> bool:
         """Start a task that serves the request; its body may follow."""
-        self._exchange = Exchange(self, head)
+        exchange = Exchange(self, head, self._received_at)
         if any(name == b'expect' for name, _ in head.headers):
-            self._exchange.body.ask_sender = self._ask_for_body
+            exchange.body.ask_sender = self._ask_for_body
+        if self._exchange is None:
+            self._exchange = exchange
+            self._has_sent = False
+        elif self._last is not None and self._last.will_close:
+            # The response may have begun while the head was incomplete.
+            self._reader.phase = Phase.STOPPED
+            return False
+        else:
+            self._ahead.add(exchange, self)
+        self._last = exchange
         loop = asyncio.get_running_loop()
-        self._task = loop.create_task(self._run(self._exchange))
+        exchange.task = loop.create_task(self._run(exchange))
         return True
 
     def on_body(self, piece: bytes) -> None:
-        """Add a piece to the request's body."""
-        if self._exchange is not None:
-            self._exchange.body.feed(piece)
+        """Add a piece to the body of the last request."""
+        if self._last is not None:
+            self._last.body.feed(piece)
 
     def on_end(self) -> None:
-        """End the request's body."""
-        if self._exchange is not None:
-            self._exchange.body.end()
+        """End the body of the last request."""
+        if self._last is not None:
+            self._last.body.end()
 
     def on_fault(self, fault: HeadFault) -> None:
-        """Refuse a malformed head, or fail the body of the request.
+        """Refuse a malformed head, or fail the body of the last request.
 
-        The task of the request sends the response to a faulty body.
+        The task of the request sends the response to a faulty body. A
+        malformed head is refused when the requests before it are answered.
         """
         self.listener.malformed_requests += 1
-        if self._exchange is None:
+        if self._exchange is None or self._last is None:
             self._refuse(fault)
-            return
-        too_large = fault.status == 413
-        exc = BodyTooLarge() if too_large else IncompleteBody(fault.reason)
-        self._exchange.body.fail(exc)
+        elif self._last.body.ended:
+            self._fault = fault
+        else:
+            too_large = fault.status == 413
+            exc = BodyTooLarge() if too_large else IncompleteBody(fault.reason)
+            self._last.body.fail(exc)
 
     # Called by exchanges.
 
     def set_reading(self, is_on: bool) -> None:
         """Resume reading from the connection (True) or pause it (False)."""
-        if self._disconnect_check is not None:
-            self._disconnect_check.cancel()
-            self._disconnect_check = None
+        self._disconnect_check.stop()
         if self._transport.is_closing():
             return
         if is_on:
             self._transport.resume_reading()
         else:
             self._transport.pause_reading()
-            self._schedule_disconnect_check()
+            self._disconnect_check.start()
 
     def will_keep_alive(self, exchange: Exchange) -> bool:
         """Return whether the connection stays open after the response.
 
         It does not if the sender asked to close it, if the request has not
-        been received completely, or if the listener is draining.
+        been received completely, if the response has said so, or if the
+        listener is draining and nothing was read behind the request.
         """
-        return (
-            exchange.head.keep_alive
-            and exchange.body.is_whole
-            and not self.listener.is_draining
-        )
+        if exchange.will_close or not exchange.head.keep_alive:
+            return False
+        is_last = exchange is self._last and self._fault is None
+        is_leaving = self.listener.is_draining and is_last
+        return exchange.body.is_whole and not is_leaving
 
     @property
     def is_write_blocked(self) -> bool:
@@ -229,30 +252,38 @@
             await self._writable
 
     def finish(self, exchange: Exchange) -> None:
-        """Send the buffered bytes; read the next request or close."""
-        self.flush()
+        """Send the buffered bytes; continue with the next request or close."""
+        self._send()
         self._exchange = None
-        self._task = None
         self._waiting_since = time.monotonic()
         if not self.will_keep_alive(exchange):
             self._close_after_response()
+        elif self._ahead:
+            self._take_next()
+        elif self._fault is None:
+            self._resume_reading()
+        else:
+            self._refuse(self._fault)
+
+    def break_off(self, exchange: Exchange) -> None:
+        """End a response that cannot be completed.
+
+        A failure replaces it if nothing was sent of it and later requests are
+        in progress, which a reset of the connection would end.
+        """
+        is_sole = not self._ahead or self._has_sent
+        if is_sole or self._transport.is_closing():
+            self.reset()
             return
-        self.set_reading(True)
-        limits = self.listener.find_limits()
-        self._reader.set_limits(limits.body_bytes, limits.head_bytes)
-        self._reader.resume()
+        self._write_buffer.clear()
+        replace_response(exchange)
 
     def reset(self) -> None:
         """Close the connection at once with a TCP reset.
 
         The reset shows the remote end that a response is incomplete.
         """
-        if self._transport.is_closing():
-            self._transport.abort()
-            return
-        sock = self._transport.get_extra_info('socket')
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-        self._transport.abort()
+        reset_connection(self._transport)
 
     def close_if_idle(self) -> None:
         """Close the connection unless it is busy or has unread bytes.
@@ -261,7 +292,7 @@
         """
         if self._transport.is_closing() or self.is_busy:
             return
-        if not poll_events(self._transport, select.POLLIN):
+        if not has_unread_bytes(self._transport):
             self._transport.close()
 
     def sweep(self, now: float) -> None:
@@ -270,83 +301,79 @@
             return
         limits = self.listener.find_limits()
         elapsed_ms = (now - self._waiting_since) * _MS_PER_SECOND
-        if self._reader.has_bytes:
+        if self.is_write_blocked:
+            if elapsed_ms > limits.idle_timeout_ms:
+                self.reset()
+        elif self._reader.has_bytes:
             if elapsed_ms > limits.head_timeout_ms:
                 self._refuse(HeadFault(408, 'head too slow'))
         elif elapsed_ms > limits.idle_timeout_ms:
             self._transport.close()
 
+    def _take_next(self) -> None:
+        """Send what is kept of the next response, whose turn has come."""
+        kept = self._ahead.pop()
+        exchange = kept.exchange
+        self._exchange = exchange
+        self._has_sent = False
+        self._write_buffer.extend(kept.pieces)
+        exchange.attach(self)
+        if exchange.finished:
+            self.finish(exchange)
+            return
+        self.flush()
+        self._resume_reading()
+
+    def _resume_reading(self) -> None:
+        """Read on, unless the body of the last request is being received."""
+        if self._reader.phase in {Phase.PAUSED, Phase.HEAD}:
+            self.set_reading(True)
+            self._read_ahead()
+
+    def _read_ahead(self) -> None:
+        """Parse the next requests; pause reading if one has to wait."""
+        reader = self._reader
+        while reader.phase is Phase.PAUSED and self._may_read():
+            limits = self.listener.find_limits()
+            reader.set_limits(limits.body_bytes, limits.head_bytes)
+            reader.resume()
+        if reader.phase is Phase.PAUSED and reader.has_bytes:
+            self.set_reading(False)
+
+    def _may_read(self) -> bool:
+        """Return whether to parse the next request now."""
+        if self._writable is not None:
+            return False
+        if self._exchange is None or self._last is None:
+            return True
+        return self._reader.has_bytes and self._ahead.may_read(self._last)
+
     def _ask_for_body(self) -> None:
         """Send 100 Continue, unless the response has begun."""
         if self._exchange is not None and not self._exchange.started:
             self._transport.write(_CONTINUE)
 
     def _refuse(self, fault: HeadFault) -> None:
-        content = fault.reason.encode()
-        phrase = REASON_PHRASES[fault.status]
-        headers = (CLOSE,)
-        framing = Framing(len(content), declared=True)
-        head = write_response_head(fault.status, phrase, headers, framing)
-        self._transport.write(head + content)
+        self._transport.write(write_fault(fault))
         self._close_after_response()
 
-    def _is_disconnected(self) -> bool:
-        """Return whether the remote end has closed, also behind unread bytes."""
-        found = poll_events(self._transport, select.POLLRDHUP)
-        return bool(found & _DISCONNECTED)
-
-    def _schedule_disconnect_check(self) -> None:
-        self._disconnect_check = asyncio.get_running_loop().call_later(
-            DISCONNECT_CHECK_S,
-            self._check_disconnect,
-        )
-
-    def _check_disconnect(self) -> None:
-        """Abort a connection that the remote end closed while it was paused."""
-        self._disconnect_check = None
-        if self._transport.is_closing():
-            return
-        if self._is_disconnected():
-            self._transport.abort()
-        else:
-            self._schedule_disconnect_check()
-
     def _close_after_response(self) -> None:
-        """Close for writing now, and completely once the remote end is silent.
-
-        Closing at once would reset the connection if the remote end still
-        sends, which might discard the response before it is read.
-        """
         if self._transport.is_closing():
             return
+        self._ahead.cancel()
         self._reader.phase = Phase.STOPPED
         self._waiting_since = time.monotonic()
-        try:
-            self._transport.write_eof()
-        except OSError:
-            self._transport.abort()
-            return
         self.set_reading(True)
-        self._linger(self._waiting_since + MAX_CLOSE_LINGER_S)
-
-    def _linger(self, until: float) -> None:
-        """Close if nothing has arrived for CLOSE_LINGER_S, else wait again.
-
-        Args:
-            until: when the connection is closed even if bytes still arrive,
-                seconds of the monotonic clock.
-        """
-        now = time.monotonic()
-        left_s = min(self._waiting_since + CLOSE_LINGER_S, until) - now
-        if left_s <= 0:
-            self._transport.close()
-        elif not self._transport.is_closing():
-            loop = asyncio.get_running_loop()
-            loop.call_later(left_s, self._linger, until)
+        close_gracefully(self._transport, lambda: self._received_at)
 
     def flush(self) -> None:
-        """Send the buffered bytes."""
+        """Send the buffered bytes, unless they are held back."""
+        if self._has_sent or not self._ahead.holds_back(self._write_buffer):
+            self._send()
+
+    def _send(self) -> None:
         if self._write_buffer:
+            self._has_sent = True
             self._transport.write(b''.join(self._write_buffer))
             self._write_buffer.clear()
 
@@ -356,17 +383,14 @@
         After a pause of the process, requests are read of senders that left
         in the meantime.
         """
-        if self._transport.is_closing() or self._is_disconnected():
+        if self._transport.is_closing() or is_disconnected(self._transport):
             self.reset()
             return
         try:
             await self._serve(exchange)
-        except asyncio.CancelledError:
-            self.reset()
-            raise
         except Exception:  # noqa: WPS424  a fault must not stop the node
             logger.exception('proxy: unhandled exception in a request')
-            self.reset()
+            exchange.abort()
         finally:
             if not exchange.finished:
-                self.reset()
+                exchange.abort()
