Keep calls away from the targets of a drained failure domain

Cause: operators order that a failure domain be emptied, and no order of theirs had any effect.

Change: the platform's orders become requests that put or delete the resource `domain-drain`. Nodes leave drained domains out of the choice of targets and of their subsets; the target's own node refuses waiting and new calls as not run. Where only drained domains have targets a call is refused with 503 at once. After the end of a drain the domain's part of the calls grows from a tenth to the whole in 6 s. Calls that enter in a drained domain queue like those of the domain that serves them. Counters, a gauge and a log line for each step.

--- a/medlarhoist/node/app.py
+++ b/medlarhoist/node/app.py
@@ -76,6 +76,11 @@
             header_names,
             self._quarantine,
         )
+        self._configuration.subscribe(
+            lambda compiled: self._proxy.set_drained_domains(
+                compiled.drained_domains
+            ),
+        )
         self._distribution = create_distribution(
             cfg,
             self._configuration,
--- a/medlarhoist/node/metrics.py
+++ b/medlarhoist/node/metrics.py
@@ -79,6 +79,15 @@
     name='target_rate_limit',
     doc='Requests per second that the target of this VM accepts, 0 for any.',
 )
+DRAINED_DOMAINS: Final = Metric(
+    name='drained_domains',
+    doc='Failure domains whose targets receive no calls, as known here.',
+)
+DRAIN_REFUSALS: Final = Metric(
+    name='drain_refusals_total',
+    doc='Calls refused as the domain of the target, or of all, is drained.',
+    family=Family.COUNTER,
+)
 SUSPECT_REQUESTS: Final = Metric(
     name='suspect_requests',
     doc='Requests known to have crashed targets: suspected, or quarantined.',
@@ -128,6 +137,8 @@
     SLOTS_USED,
     CALLS_WAITING,
     TARGET_RATE_LIMIT,
+    DRAINED_DOMAINS,
+    DRAIN_REFUSALS,
     SUSPECT_REQUESTS,
     QUARANTINE_REFUSALS,
     ENDED_WITH_TARGET,
@@ -195,6 +206,8 @@
         (SLOTS_USED, proxy.slots_used),
         (CALLS_WAITING, proxy.waiting),
         (TARGET_RATE_LIMIT, proxy.rate_limit),
+        (DRAINED_DOMAINS, len(proxy.drained_domains)),
+        (DRAIN_REFUSALS, proxy.refused_by_drain),
         (QUARANTINE_REFUSALS, proxy.quarantine_refusals),
         (ENDED_WITH_TARGET, proxy.target_deaths),
     ):
--- a/medlarhoist/node/metrics_test.py
+++ b/medlarhoist/node/metrics_test.py
@@ -61,6 +61,8 @@
     rate_limit=12.5,
     is_target_leaving=False,
     refused=0,
+    refused_by_drain=5,
+    drained_domains=('a', 'b'),
     target_deaths=3,
     quarantine_refusals=4,
     quarantine=(Suspicion('ab' * 12, deaths=3, wait_ms=1000),),
@@ -89,6 +91,8 @@
     assert 'configuration_fetched_total 6' in rendered
     assert 'medlarhoist_slots_used 3' in rendered
     assert 'medlarhoist_target_rate_limit 12.5' in rendered
+    assert 'medlarhoist_drained_domains 2' in rendered
+    assert 'medlarhoist_drain_refusals_total 5' in rendered
     assert 'medlarhoist_connections{listener="peer"} 5' in rendered
     assert 'direction="sent",kind="Hello"} 90' in rendered
     assert '"refused"' in rendered
--- a/medlarhoist/node/proxy/entry.py
+++ b/medlarhoist/node/proxy/entry.py
@@ -45,6 +45,10 @@
 )
 _NO_ROUTE: Final = Failure(Verdict.DID_NOT_RUN, 'no route', 404)
 _NO_TARGET: Final = Failure(Verdict.DID_NOT_RUN, 'no live target')
+_ONLY_DRAINED: Final = Failure(
+    Verdict.DID_NOT_RUN,
+    'all live targets are in drained domains',
+)
 _TARGET_FAILED: Final = Failure(
     Verdict.MAY_HAVE_RUN,
     'target failed',
@@ -59,6 +63,7 @@
     Args:
         is_closing: whether calls get no further attempt.
         is_draining: whether new calls are refused.
+        refused_by_drain: calls refused as all targets are in drained domains.
         retries: number of attempts after the first attempt of a call.
     """
 
@@ -71,6 +76,7 @@
         '_route_averages',
         'is_closing',
         'is_draining',
+        'refused_by_drain',
         'retries',
     )
 
@@ -89,6 +95,7 @@
         self._id_prefix = f'{parts.name}-{started_ms:x}'
         self.is_closing = False
         self.is_draining = False
+        self.refused_by_drain = 0
         self.retries = 0
 
     async def serve(self, exchange: Exchange) -> None:
@@ -182,7 +189,7 @@
                 return refusal
             target = self._find_target(call, failure)
             if target is None:
-                return failure
+                return self._explain_no_target(call, failure)
             outcome = await self._attempt(exchange, call, target)
             if outcome is None:
                 return None
@@ -190,6 +197,16 @@
             call.count_arrival(failure)
         return failure
 
+    def _explain_no_target(self, call: Call, failure: Failure) -> Failure:
+        """Return the failure of a call that no target is left for."""
+        selector = self._parts.selector
+        if failure is not _NO_TARGET:
+            return failure
+        if not selector.has_drained_target(call.service, call.label):
+            return failure
+        self.refused_by_drain += 1
+        return _ONLY_DRAINED
+
     def _find_target(self, call: Call, failure: Failure) -> Target | None:
         target = self._pick_target(call)
         if target is None and self._switch_to_fallback(call, failure):
--- a/medlarhoist/node/proxy/factory.py
+++ b/medlarhoist/node/proxy/factory.py
@@ -75,5 +75,7 @@
         observer=Observer(selector, recorder),
         suspicions=CallSuspicions(fingerprint_key, quarantine),
     )
-    peer_service = PeerService(local, cfg.domain, key, time.time)
+    peer_service = PeerService(
+        local, cfg.domain, key, time.time, selector.drains
+    )
     return Proxy(cfg, parts, peer_service)
--- a/medlarhoist/node/proxy/local.py
+++ b/medlarhoist/node/proxy/local.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable
 from random import Random
+from typing import Final
 
 from msgspec import structs
 
@@ -39,6 +40,7 @@
 from medlarhoist.node.proxy.suspects import SuspectRun, TargetSuspects
 from medlarhoist.utils.tasks import start_task
 
+DOMAIN_IS_DRAINED: Final = 'failure domain is drained'
 _FindService = Callable[[str], Service | None]
 
 
@@ -49,6 +51,7 @@
         mismatched: responses that did not belong to their request.
         malformed: responses that were no HTTP, or had bytes after their end.
         refused: calls that this node refused without sending them.
+        refused_by_drain: those refused as the failure domain is drained.
         on_leaving: called with the key of a run that states that it leaves.
         stated: what the present run of the target has stated of itself.
         suspects: the requests that are suspected to crash the target.
@@ -58,8 +61,8 @@
         '_echoes_ids',
         '_find_service',
         '_header_names',
-        '_is_draining',
         '_notice',
+        '_no_calls_reason',
         '_pool',
         '_rng',
         '_running',
@@ -68,6 +71,7 @@
         'mismatched',
         'on_leaving',
         'refused',
+        'refused_by_drain',
         'stated',
         'suspects',
     )
@@ -96,10 +100,12 @@
         self._pool = ConnectionPool('', self._count_malformed)
         self._running: set[str] = set()
         self._slots = Slots(self._count_slots)
-        self._is_draining = False
+        # Why all calls are refused, empty while they are not.
+        self._no_calls_reason = ''
         self.on_leaving: Callable[[str], None] = _ignore
         self.stated = RunCondition(self._apply_condition)
         self.refused = 0
+        self.refused_by_drain = 0
         self.mismatched = 0
         self.malformed = 0
 
@@ -147,10 +153,11 @@
                 self._count_malformed,
             )
 
-    def start_draining(self) -> None:
-        """Refuse waiting and new calls, as this node is about to stop."""
-        self._is_draining = True
-        self._slots.refuse_waiters()
+    def refuse_calls(self, reason: str) -> None:
+        """Refuse waiting and new calls; an empty reason ends this."""
+        self._no_calls_reason = reason
+        if reason:
+            self._slots.refuse_waiters()
 
     async def send(
         self,
@@ -181,6 +188,7 @@
             reason = await self._acquire_slot(call)
             if reason:
                 self.refused += 1
+                self.refused_by_drain += reason == DOMAIN_IS_DRAINED
                 load = self.load
                 left_s = call.deadline - time.monotonic()
                 log_refusal(caller_id, reason, load, left_s)
@@ -323,7 +331,8 @@
             return reason
         if not await self._slots.acquire(call.need):
             is_limited = self._slots.load.delay_s > 0
-            return 'over the limit of the target' if is_limited else 'no slot'
+            reason = 'over the limit of the target' if is_limited else 'no slot'
+            return self._no_calls_reason or reason
         # During the wait the target may have been replaced by another one.
         reason = self._find_refusal_reason(call)
         if reason:
@@ -333,8 +342,8 @@
     def _find_refusal_reason(self, call: ForwardedCall) -> str:
         """Return why the target cannot take a call, or '' if it can."""
         notice = self._notice
-        if self._is_draining:
-            return 'node is stopping'
+        if self._no_calls_reason:
+            return self._no_calls_reason
         if notice is None:
             return 'no target here'
         if notice.service != call.service:
--- a/medlarhoist/node/proxy/peer.py
+++ b/medlarhoist/node/proxy/peer.py
@@ -11,6 +11,7 @@
     parse_condition,
 )
 from medlarhoist.core.deadline import parse_left_ms
+from medlarhoist.core.domain_drain import DomainDrains
 from medlarhoist.core.headers import (
     CONDITION_HEADER,
     DEADLINE_HEADER,
@@ -53,6 +54,7 @@
     __slots__ = (
         '_clock',
         '_domain',
+        '_drains',
         '_key',
         '_local',
         '_token_expiry',
@@ -64,6 +66,7 @@
         domain: str,
         key: bytes,
         clock: Callable[[], float],
+        drains: DomainDrains,
     ) -> None:
         """Start without cached tokens.
 
@@ -72,8 +75,10 @@
             domain: failure domain of this node.
             key: the key shared by all nodes, which signs tokens.
             clock: seconds since 1970.
+            drains: the failure domains that receive no calls, or fewer.
         """
         self._local = local
+        self._drains = drains
         self._domain = domain.encode()
         self._key = key
         self._clock = clock
@@ -154,13 +159,25 @@
                 headers.get(REQUIREMENTS_HEADER),
                 now + left_ms / _MS_PER_SECOND,
                 now,
-                is_spilled=headers.get(DOMAIN_HEADER) != self._domain,
+                is_spilled=self._is_spilled(headers.get(DOMAIN_HEADER, b'')),
             ),
             condition=parse_condition(headers.get(CONDITION_HEADER))
             or NO_CONDITION,
             suspicion=parse_suspicion(headers.get(SUSPICION_HEADER)),
         )
 
+    def _is_spilled(self, domain: bytes) -> bool:
+        """Return whether a call could have stayed in another domain.
+
+        Calls that enter in a drained domain could not, so they are served like
+        those of this domain.
+        """
+        if domain == self._domain:
+            return False
+        name = domain.decode('latin-1')
+        is_drained = name in self._drains.drained
+        return not is_drained and not self._drains.is_returning(name)
+
     def _is_authentic(self, token: bytes) -> bool:
         """Return whether a token is valid.
 
--- a/medlarhoist/node/proxy/proxy.py
+++ b/medlarhoist/node/proxy/proxy.py
@@ -14,8 +14,10 @@
 from medlarhoist.core.resource import Limits
 from medlarhoist.core.settings import NodeSettings
 from medlarhoist.core.target import TargetNotice
+from medlarhoist.node.proxy.drain_log import DrainLog
 from medlarhoist.node.proxy.entry import EntryService
 from medlarhoist.node.proxy.listener import Listener
+from medlarhoist.node.proxy.local import DOMAIN_IS_DRAINED
 from medlarhoist.node.proxy.parts import ProxyParts
 from medlarhoist.node.proxy.peer import PeerService
 
@@ -58,6 +60,9 @@
             limit.
         is_target_leaving: whether the target has stated that it leaves.
         refused: calls that this node refused for its target.
+        refused_by_drain: calls that this node refused as a domain is drained,
+            for its target or for want of targets elsewhere.
+        drained_domains: failure domains whose targets receive no calls.
         target_deaths: requests in progress when a run of the target ended.
         quarantine_refusals: requests refused as they crash their targets, or
             may not run now as they are suspected to.
@@ -81,6 +86,8 @@
     rate_limit: float
     is_target_leaving: bool
     refused: int
+    refused_by_drain: int
+    drained_domains: tuple[str, ...]
     target_deaths: int
     quarantine_refusals: int
     quarantine: tuple[Suspicion, ...]
@@ -107,6 +114,7 @@
 
     __slots__ = (
         '_cfg',
+        '_drain_log',
         '_entry',
         '_entry_service',
         '_parts',
@@ -129,6 +137,7 @@
         """
         self._cfg = cfg
         self._parts = parts
+        self._drain_log = DrainLog(cfg.domain)
         self._entry_service = EntryService(parts)
         self._entry = Listener(self._entry_service.serve, self._find_limits)
         self._peer = Listener(peer_service.serve, lambda: PEER_LIMITS)
@@ -146,6 +155,23 @@
         """
         self._parts.local.set_notice(notice)
 
+    def set_drained_domains(self, domains: frozenset[str]) -> None:
+        """Update to the drained failure domains of the configuration in force.
+
+        If this node's domain is one, calls that wait for its target are refused
+        at once, and every further call.
+        """
+        selector = self._parts.selector
+        before = selector.drains.drained
+        if not selector.set_drained(domains):
+            return
+        self._drain_log.record_change(before, domains)
+        if not self._entry_service.is_draining:
+            is_drained = self._parts.domain in domains
+            self._parts.local.refuse_calls(
+                DOMAIN_IS_DRAINED if is_drained else ''
+            )
+
     def on_target_leaving(self, callback: Callable[[str], None]) -> None:
         """Set the callback for a run of the target that states that it leaves.
 
@@ -196,7 +222,7 @@
         if announce_leave is not None:
             announce_leave()
         await asyncio.sleep(notice_s)
-        self._parts.local.start_draining()
+        self._parts.local.refuse_calls('node is stopping')
         self._entry_service.is_draining = True
         await asyncio.gather(self._entry.close(), self._peer.close())
         await asyncio.sleep(min(linger_s, LAST_REQUESTS_S))
@@ -248,6 +274,9 @@
             rate_limit=load.rate,
             is_target_leaving=self._parts.local.stated.condition.is_leaving,
             refused=self._parts.local.refused,
+            refused_by_drain=self._parts.local.refused_by_drain
+            + self._entry_service.refused_by_drain,
+            drained_domains=tuple(sorted(self._parts.selector.drains.drained)),
             target_deaths=suspects.deaths,
             quarantine_refusals=suspects.refused
             + self._parts.suspicions.refused,
@@ -271,5 +300,8 @@
             self._peer.sweep(now)
             self._parts.local.sweep(now)
             self._parts.local.suspects.quarantine.expire(now)
+            self._drain_log.record_progress(
+                self._parts.selector.drains, self._parts.local.load, now
+            )
             addresses = self._parts.selector.expire_views()
             self._parts.remote.sweep(now, addresses)
--- a/medlarhoist/node/proxy/target_selector.py
+++ b/medlarhoist/node/proxy/target_selector.py
@@ -4,7 +4,7 @@
 targets and this node's own observations of targets.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 from typing import Final
 
@@ -16,6 +16,7 @@
 )
 from medlarhoist.core.compile import Compiled
 from medlarhoist.core.condition import Condition
+from medlarhoist.core.domain_drain import DomainDrains
 from medlarhoist.core.interfaces import Registry, ShareLimiter
 from medlarhoist.core.resource import Service
 from medlarhoist.core.subset import choose_one, choose_subset
@@ -31,6 +32,7 @@
     """Selects targets for the calls that callers send to one node.
 
     Args:
+        drains: the failure domains that receive no calls, or fewer.
         views: this node's observations of each target, by address.
     """
 
@@ -43,6 +45,7 @@
         '_registry',
         '_revision',
         '_rng',
+        'drains',
         'views',
     )
 
@@ -73,8 +76,23 @@
         self._rng = rng
         self._revision = registry.revision
         self._cache: dict[tuple[str, str], tuple[Target, ...]] = {}
+        self.drains = DomainDrains()
         self.views: dict[str, TargetView] = {}
 
+    def set_drained(self, domains: frozenset[str]) -> bool:
+        """Set the drained failure domains; return whether they changed."""
+        is_changed = self.drains.update(domains, self._clock())
+        if is_changed:
+            self._cache.clear()
+        return is_changed
+
+    def has_drained_target(self, service: str, label: str) -> bool:
+        """Return whether a version has a target in a drained domain."""
+        return any(
+            target.domain in self.drains.drained
+            for target in self._registry.targets(service, label)
+        )
+
     def pick_label(self, compiled: Compiled, service: Service) -> str:
         """Return the label of the version that one call goes to.
 
@@ -115,18 +133,19 @@
         Returns:
             The target, or None if no ready target is left.
         """
-        targets: tuple[Target, ...] | list[Target]
-        targets = self._list_targets(service, label)
+        targets: Sequence[Target] = self._list_targets(service, label)
         if tried:
             targets = [
                 target for target in targets if target.address not in tried
             ]
+        drawn = self.drains.draw(targets, context.now, self._rng)
+        found = pick_target(
+            drawn, self.views, self._location, context, self._rng
+        )
+        if found is not None or drawn is targets:
+            return found
         return pick_target(
-            targets,
-            self.views,
-            self._location,
-            context,
-            self._rng,
+            targets, self.views, self._location, context, self._rng
         )
 
     def pick_suspect_target(
@@ -149,7 +168,9 @@
         """
         ready = [
             target
-            for target in self._registry.targets(service, label)
+            for target in self.drains.without_drained(
+                self._registry.targets(service, label)
+            )
             if target.phase is TargetPhase.READY and target.address not in tried
         ]
         now = self._clock()
@@ -188,7 +209,8 @@
     def _list_targets(self, service: str, label: str) -> tuple[Target, ...]:
         """Return this node's subset of a version's targets.
 
-        Subsets are cached until the registry changes or a view expires.
+        Subsets are cached until the registry or the drains change, or a view
+        expires.
         """
         if self._registry.revision != self._revision:
             self._revision = self._registry.revision
@@ -196,11 +218,12 @@
         key = (service, label)
         cached = self._cache.get(key)
         if cached is None:
-            cached = self._select_subset(self._registry.targets(service, label))
+            targets = self._registry.targets(service, label)
+            cached = self._select_subset(self.drains.without_drained(targets))
             self._cache[key] = cached
         return cached
 
-    def _select_subset(self, targets: tuple[Target, ...]) -> tuple[Target, ...]:
+    def _select_subset(self, targets: Sequence[Target]) -> tuple[Target, ...]:
         local = [
             item for item in targets if item.domain == self._location.domain
         ]
@@ -208,7 +231,11 @@
             item for item in targets if item.domain != self._location.domain
         ]
         selected = choose_subset(self._name, local, LOCAL_SUBSET_SIZE)
-        selected += choose_subset(self._name, remote, REMOTE_SUBSET_SIZE)
+        remote_size = REMOTE_SUBSET_SIZE
+        if self._location.domain in self.drains.drained:
+            # Calls that stay in the domain otherwise all go to others.
+            remote_size += LOCAL_SUBSET_SIZE
+        selected += choose_subset(self._name, remote, remote_size)
         for target in selected:
             view = self._find_view(target)
             view.used_at = self._clock()
--- a/medlarhoist/platform/boundary_test.py
+++ b/medlarhoist/platform/boundary_test.py
@@ -11,7 +11,7 @@
 PLATFORM_NAMES = re.compile(
     '|'.join(
         (
-            '/medlarhoist/(ready|config|rollouts|instances)',
+            '/medlarhoist/(ready|config|rollouts|instances|evacuations)',
             'x-attempt-id|x-caller-service|x-expected-instance',
             'x-not-executed|x-instance-id|x-response-signature',
             'server-limit|server-leaving',
--- a/medlarhoist/platform/names.py
+++ b/medlarhoist/platform/names.py
@@ -13,6 +13,7 @@
 GET_CONFIGURATION_PATH: Final = f'{PREFIX}/config/get'
 START_MOVE_PATH: Final = f'{PREFIX}/rollouts/start'
 MOVE_PATH: Final = re.compile(f'{PREFIX}/rollouts/([^/]+)/get')
+DRAIN_PATH: Final = re.compile(f'{PREFIX}/evacuations/([^/]+)/(start|end)')
 HEARTBEAT_PATH: Final = re.compile(f'{PREFIX}/instances/([^/]+)/heartbeat')
 LEAVE_PATH: Final = re.compile(f'{PREFIX}/instances/([^/]+)/deregister')
 MISDIRECTED_STATUS: Final = 421
--- a/medlarhoist/platform/operators.py
+++ b/medlarhoist/platform/operators.py
@@ -1,6 +1,7 @@
 """Listener of a source for the platform's operators."""
 
 from typing import Any, Final
+from urllib.parse import unquote
 
 from msgspec import Struct, field, json
 from result import Err
@@ -10,6 +11,7 @@
 from medlarhoist.core.settings import Peer
 from medlarhoist.platform.configuration import Seconds, read_configuration
 from medlarhoist.platform.names import (
+    DRAIN_PATH,
     GET_CONFIGURATION_PATH,
     MOVE_PATH,
     MOVE_STATES,
@@ -19,6 +21,7 @@
 from medlarhoist.platform.settings import Deployment
 from medlarhoist.source.api_write import QueueFull
 from medlarhoist.source.app import SourceApp
+from medlarhoist.source.domain_drain import set_drain
 from medlarhoist.source.ledger_link import peer_from_endpoint
 from medlarhoist.source.standby import Standby
 from medlarhoist.utils.loop import Host
@@ -87,6 +90,9 @@
             return await self._put_configuration(request.body)
         if request.method == 'POST' and request.path == START_MOVE_PATH:
             return await self._start_move(request.body)
+        drain = DRAIN_PATH.fullmatch(request.path)
+        if request.method == 'POST' and drain is not None:
+            return await self._set_drain(*drain.groups())
         return _error_response(404, 'nothing is served here')
 
     async def _put_configuration(self, body: bytes) -> WebResponse:
@@ -118,6 +124,16 @@
         )
         return _outcome_response(outcome)
 
+    async def _set_drain(self, domain: str, action: str) -> WebResponse:
+        outcome = await set_drain(
+            self._app.write_access.writer,
+            self._app.ledger,
+            OPERATOR,
+            unquote(domain),
+            is_drained=action == 'start',
+        )
+        return _outcome_response(outcome)
+
     async def _get_move(self, service: str) -> WebResponse:
         await self._app.ledger.read_barrier()
         moves = self._app.ledger.state.moves.values()
