Test the drains of domains by load, by calls and by orders

Cause: an emptied domain must get nothing from any node, and be taken back in steps.

Change: tests of the share of a domain over time, of each way by which a call could reach a drained domain, and of orders that are repeated, lost, abandoned or given by two operators at once.

--- /dev/null
+++ b/medlarhoist/node/proxy/domain_drain_test.py
@@ -0,0 +1,158 @@
+"""Tests that targets of a drained failure domain get no call.
+
+Guards against each way by which a call could still reach one: the choice of
+its entry node, one that has not heard of the drain, the queue of the target's
+node, another attempt, and a suspect.
+"""
+
+import asyncio
+
+import pytest
+
+from medlarhoist.core.quarantine import Suspicion
+from medlarhoist.standin.target_options import Fault
+
+DRAINED = frozenset(('a',))
+
+
+async def _add_nodes(mesh, *domains, **options):
+    for domain in domains:
+        await mesh.add(domain, **options)
+
+
+def _drain(mesh, indexes, domains=DRAINED):
+    for index in indexes:
+        mesh.nodes[index].set_drained_domains(domains)
+
+
+@pytest.fixture(name='run_counts')
+def _run_counts(run_mesh):
+    """Run a scenario; return its result and the runs of each target."""
+
+    def run(scenario):
+        async def main(mesh):
+            result = await scenario(mesh)
+            return result, [sum(item.ran.values()) for item in mesh.records]
+
+        return run_mesh(main)
+
+    return run
+
+
+@pytest.mark.parametrize('entry', [0, 1])
+def test_callers_are_served_by_the_other_domains(run_counts, entry):
+    async def scenario(mesh):
+        await _add_nodes(mesh, 'a', 'b', 'c')
+        _drain(mesh, (0, 1, 2))
+        return [
+            (await mesh.post(request_id=f'q{number}', index=entry)).status
+            for number in range(20)
+        ]
+
+    statuses, ran = run_counts(scenario)
+    assert (set(statuses), ran[0], sum(ran)) == ({200}, 0, 20)
+
+
+def test_the_node_of_the_target_refuses_what_others_still_send(run_counts):
+    """The entry node is out of touch, so it has not heard of the drain."""
+
+    async def scenario(mesh):
+        await _add_nodes(mesh, 'b', 'a')
+        await mesh.add('b', registered=False)
+        _drain(mesh, (1,))
+        return [
+            (await mesh.post(request_id=f'q{number}', index=2)).status
+            for number in range(20)
+        ]
+
+    statuses, ran = run_counts(scenario)
+    assert (set(statuses), ran) == ({200}, [20, 0, 0])
+
+
+def test_waiting_calls_are_tried_elsewhere_at_once(run_counts):
+    async def scenario(mesh):
+        await mesh.add('a', slots=1, work_ms=2000)
+        first = asyncio.create_task(mesh.get('/sights', 'q1'))
+        while not mesh.records[0].in_progress:
+            await asyncio.sleep(0.01)
+        second = asyncio.create_task(mesh.post(request_id='q2'))
+        while not mesh.nodes[0].dump().waiting:
+            await asyncio.sleep(0.01)
+        await mesh.add('b')
+        _drain(mesh, (0, 1))
+        async with asyncio.timeout(1):
+            result = await second
+        return result.status, (await first).status
+
+    statuses, ran = run_counts(scenario)
+    assert (statuses, ran) == ((200, 200), [1, 1])
+
+
+def test_without_another_domain_calls_are_refused_at_once(run_counts):
+    async def scenario(mesh):
+        await _add_nodes(mesh, 'a', 'a')
+        _drain(mesh, (0, 1))
+        async with asyncio.timeout(1):
+            result = await mesh.get()
+        return result, mesh.nodes[0].dump()
+
+    (result, dump), ran = run_counts(scenario)
+    assert (result.status, result.verdict, ran) == (503, 'did-not-run', [0, 0])
+    assert (dump.refused_by_drain, dump.drained_domains) == (1, ('a',))
+
+
+def test_another_attempt_goes_to_no_drained_domain(run_counts):
+    async def scenario(mesh):
+        await mesh.add('a')
+        await mesh.add('b', fault=Fault.FAIL, work_ms=0)
+        _drain(mesh, (0, 1))
+        return (await mesh.get('/sights', index=1)).status
+
+    status, ran = run_counts(scenario)
+    assert (status >= 500, ran[0]) == (True, 0)
+
+
+def test_a_suspect_runs_in_no_drained_domain(run_mesh):
+    async def scenario(mesh):
+        await _add_nodes(mesh, 'a', 'a', 'a', 'b')
+        _drain(mesh, range(4))
+        selector = mesh.nodes[0]._parts.selector
+        return {
+            selector.pick_suspect_target(
+                'bookings', 'v1', set(), Suspicion(f'{number:024x}').fingerprint
+            ).domain
+            for number in range(20)
+        }
+
+    assert run_mesh(scenario) == {'b'}
+
+
+def test_after_the_end_the_domain_gets_calls_again(run_counts):
+    async def scenario(mesh):
+        await _add_nodes(mesh, 'a', 'b')
+        _drain(mesh, (0, 1))
+        await mesh.post(request_id='q1')
+        _drain(mesh, (0, 1), frozenset())
+        for number in range(60):
+            await mesh.post(request_id=f'r{number}')
+        mesh.nodes[1].set_drained_domains(frozenset(('b',)))
+        mesh.nodes[0].set_drained_domains(frozenset(('b',)))
+        alone = await mesh.post(request_id='alone')
+        return alone.status
+
+    status, ran = run_counts(scenario)
+    assert status == 200
+    # A tenth and some more of the calls, and the one without another domain.
+    assert 1 < ran[0] < 40
+
+
+def test_the_end_of_a_drain_does_not_open_a_node_that_stops(run_counts):
+    async def scenario(mesh):
+        await _add_nodes(mesh, 'a')
+        _drain(mesh, (0,))
+        local = mesh.nodes[0]._parts.local
+        await mesh.nodes[0].stop(linger_s=0, timeout_s=1)
+        _drain(mesh, (0,), frozenset())
+        return local._no_calls_reason
+
+    assert run_counts(scenario)[0] == 'node is stopping'
--- a/medlarhoist/platform/operators_test.py
+++ b/medlarhoist/platform/operators_test.py
@@ -19,6 +19,8 @@
 PUT = '/medlarhoist/config/put'
 GET = '/medlarhoist/config/get'
 START = '/medlarhoist/rollouts/start'
+START_DRAIN = '/medlarhoist/evacuations/uy-south-a/start'
+END_DRAIN = '/medlarhoist/evacuations/uy-south-a/end'
 
 
 class App:
@@ -104,6 +106,35 @@
     ]
 
 
+def test_orders_to_empty_a_zone_are_accepted_however_often(
+    send, ledger, document
+):
+    responses = send(
+        ('POST', END_DRAIN),
+        ('POST', START_DRAIN),
+        ('POST', START_DRAIN),
+        ('POST', PUT, _encode_first(document)),
+    )
+    assert {response.status for response in responses} == {200}
+    drains = ledger.state.active.domain_drains
+    assert [drain.name for drain in drains] == ['uy-south-a']
+    ended = send(('POST', END_DRAIN), ('POST', END_DRAIN))
+    assert {response.status for response in ended} == {200}
+    assert not ledger.state.active.domain_drains
+
+
+def test_an_order_to_empty_a_zone_that_is_undecided_may_be_sent_again(
+    send, ledger
+):
+    ledger.on_staged = 'abandon'
+    assert send(('POST', START_DRAIN))[0].status == 503
+    ledger.is_leader = False
+    ledger.leader = 's2'
+    redirect = send(('POST', START_DRAIN))[0]
+    assert redirect.status == 307
+    assert redirect.headers['Location'].endswith(START_DRAIN)
+
+
 def test_a_follower_redirects_to_the_leader(send, ledger, document):
     ledger.is_leader = False
     ledger.leader = 's2'
