Let operators drain a domain with a command, and learn drains from refusals

Cause: only the users' platform could order a drain, and an entry node that had not heard of one could be refused by four targets of its own domain, so its call ended.

Change: `medlarhoist drain [DOMAIN] [--end]`, which refuses unknown names and warns for the last domain. A node that is refused for a drain leaves the domain out for half a second.

--- a/medlarhoist/core/domain_drain.py
+++ b/medlarhoist/core/domain_drain.py
@@ -10,11 +10,14 @@
 from random import Random
 from typing import Final
 
+from medlarhoist.core.resource import Change, DomainDrain, key_of
 from medlarhoist.core.target import Target
 
 # Longer than nodes take to learn the load of targets that they return to.
 RETURN_S: Final = 6.0
 FIRST_SHARE: Final = 0.1
+# Nodes that have the next version refuse calls of those that wait for it.
+REFUSAL_PAUSE_S: Final = 0.5
 
 
 class DomainDrains:
@@ -24,12 +27,13 @@
         drained: failure domains whose targets receive no calls.
     """
 
-    __slots__ = ('_ended_at', 'drained')
+    __slots__ = ('_ended_at', '_refused_until', 'drained')
 
     def __init__(self) -> None:
         """Start without drains."""
         self.drained: frozenset[str] = frozenset()
         self._ended_at: dict[str, float] = {}
+        self._refused_until: dict[str, float] = {}
 
     def update(self, drained: frozenset[str], now: float) -> bool:
         """Set the drained domains of the configuration in force.
@@ -68,14 +72,27 @@
         """Return whether the part of a domain grows after a drain."""
         return domain in self._ended_at
 
-    def end_returns(self, now: float) -> tuple[str, ...]:
+    def record_refusal(self, domain: str, now: float) -> None:
+        """Record that a node refused a call as its domain is drained.
+
+        It has heard of a drain that this node has not, or of an end later. A
+        call could be refused by one target of the domain after another, so the
+        domain is left out for a moment where there are others.
+
+        Args:
+            domain: name of the failure domain.
+            now: seconds of the monotonic clock.
+        """
+        self._refused_until[domain] = now + REFUSAL_PAUSE_S
+
+    def expire(self, now: float) -> tuple[str, ...]:
         """Forget the domains that receive all of their calls again.
 
         Args:
             now: seconds of the monotonic clock.
 
         Returns:
-            Their names.
+            The names of those that have returned after a drain.
         """
         whole = tuple(
             domain
@@ -84,6 +101,9 @@
         )
         for domain in whole:
             self._ended_at.pop(domain)
+        for refused, until in tuple(self._refused_until.items()):
+            if until <= now:
+                self._refused_until.pop(refused)
         return whole
 
     def without_drained(self, targets: Sequence[Target]) -> Sequence[Target]:
@@ -100,20 +120,40 @@
         """Return the targets that one attempt may go to.
 
         A domain that returns after a drain is left out of some attempts, by
-        its share.
+        its share. One whose nodes have just refused a call as it is drained is
+        left out of all.
 
         Args:
             targets: targets of domains that are not drained.
             now: seconds of the monotonic clock.
             rng: source of randomness.
         """
+        if not self._ended_at and not self._refused_until:
+            return targets
         left_out = {
             domain
             for domain in self._ended_at
             if rng.random() >= self.share(domain, now)
         }
+        left_out.update(
+            domain
+            for domain, until in self._refused_until.items()
+            if now < until
+        )
         if not left_out:
             return targets
         return tuple(
             target for target in targets if target.domain not in left_out
         )
+
+
+def build_drain_change(domain: str, *, is_drained: bool) -> Change:
+    """Return the change that starts or ends the drain of a failure domain.
+
+    Args:
+        domain: name of the failure domain.
+        is_drained: whether its targets shall receive no calls.
+    """
+    drain = DomainDrain(name=domain)
+    resource = drain if is_drained else None
+    return Change(key=key_of(drain), resource=resource)
--- a/medlarhoist/node/proxy/drain_log.py
+++ b/medlarhoist/node/proxy/drain_log.py
@@ -46,7 +46,7 @@
             load: present load of the target beside this node.
             now: seconds of the monotonic clock.
         """
-        for whole in drains.end_returns(now):
+        for whole in drains.expire(now):
             logger.bind(domain=whole).info('drain: the domain has its share')
         if self._awaits_last_call and not load.used and not load.waiting:
             self._awaits_last_call = False
--- a/medlarhoist/node/proxy/entry.py
+++ b/medlarhoist/node/proxy/entry.py
@@ -31,6 +31,7 @@
 )
 from medlarhoist.node.proxy.exchange import Exchange
 from medlarhoist.node.proxy.forwarded import ForwardedCall
+from medlarhoist.node.proxy.local import DOMAIN_IS_DRAINED
 from medlarhoist.node.proxy.parts import ProxyParts
 from medlarhoist.node.proxy.relay import refuse, relay
 from medlarhoist.node.proxy.remote import read_reported_condition
@@ -287,6 +288,8 @@
         try:
             outcome = await self._send(call, target)
             if isinstance(outcome, Failure):
+                if outcome.reason == DOMAIN_IS_DRAINED:
+                    self._parts.selector.record_drain_refusal(target)
                 self._parts.observer.record_failed_attempt(call, outcome)
                 self._parts.suspicions.record(outcome)
                 log_failed_attempt(call, outcome, time.monotonic())
--- a/medlarhoist/node/proxy/target_selector.py
+++ b/medlarhoist/node/proxy/target_selector.py
@@ -86,6 +86,10 @@
             self._cache.clear()
         return is_changed
 
+    def record_drain_refusal(self, target: Target) -> None:
+        """Record that a target's node refused a call for a drain."""
+        self.drains.record_refusal(target.domain, self._clock())
+
     def has_drained_target(self, service: str, label: str) -> bool:
         """Return whether a version has a target in a drained domain."""
         return any(
--- a/medlarhoist/ops/command_line_test.py
+++ b/medlarhoist/ops/command_line_test.py
@@ -113,6 +113,24 @@
     assert 'rolled-back 0%: an operator deleted' in capsys.readouterr().out
 
 
+def test_a_domain_is_drained_and_taken_back(run, capsys):
+    codes = run(
+        'drain a', 'drain a', 'drain', 'drain a --end', 'drain a --end', 'drain'
+    )
+    assert codes == [0] * 6
+    output, errors = capsys.readouterr()
+    assert 'no domain is left' in errors
+    assert output.count('domain-drain/a base=1') == 1
+    assert 'domain a is not drained' in output
+    assert not run.ledger.state.active.domain_drains
+
+
+def test_a_domain_that_no_node_has_is_not_drained(run, capsys):
+    assert run('drain aa') == [ExitCode.REFUSED]
+    assert "known are ['a']" in capsys.readouterr().err
+    assert not run.ledger.commands
+
+
 def test_a_refused_change_is_explained(run, capsys):
     codes = run(
         'delete service seats --request-id request-1',
--- a/medlarhoist/ops/commands.py
+++ b/medlarhoist/ops/commands.py
@@ -19,9 +19,11 @@
     StatusReport,
 )
 from medlarhoist.core.command import MovePhase, MoveState, Status
+from medlarhoist.core.domain_drain import build_drain_change
 from medlarhoist.core.event import Event
-from medlarhoist.core.resource import Change, Fault, Key
+from medlarhoist.core.resource import Change, Fault, Key, Kind
 from medlarhoist.ops.client import Client, Reply, decode_reply
+from medlarhoist.ops.domain_check import find_domain_faults, leaves_no_domain
 from medlarhoist.ops.dry_run import try_changes
 from medlarhoist.ops.exit_code import (
     ExitCode,
@@ -212,6 +214,41 @@
             return self.watch(since=newest, until=name)
         return exit_code_of_move(state.phase)
 
+    def drain(
+        self,
+        domain: str = '',
+        *,
+        end: bool = False,
+        request_id: str = '',
+    ) -> ExitCode:
+        """Keep calls away from the targets of a failure domain, or end this.
+
+        Without a domain, the drained domains are printed. A drain ends only
+        with --end. Starting or ending one again changes nothing.
+
+        Args:
+            domain: name of the failure domain.
+            end: give the domain its calls again, step by step.
+            request_id: id of an earlier request, to resend it.
+        """
+        if not domain:
+            return self.get(Kind.DOMAIN_DRAIN)
+        if end:
+            path = f'/v1/resources/{Kind.DOMAIN_DRAIN}/{domain}'
+            if self._fetch_reply(path).status == 404:
+                sys.stdout.write(f'domain {domain} is not drained\n')
+                return ExitCode.DONE
+        else:
+            status = self._fetch_reply('/v1/status')
+            faults = find_domain_faults(status, domain)
+            if faults:
+                return report_faults(faults, in_json=self._in_json)
+            drains = self._fetch_reply(f'/v1/resources/{Kind.DOMAIN_DRAIN}')
+            if leaves_no_domain(status, drains, domain):
+                sys.stderr.write('warning: no domain is left to serve calls\n')
+        change = build_drain_change(domain, is_drained=not end)
+        return self._send_changes((change,), request_id)
+
     def explain(self, request_id: str) -> ExitCode:
         """Print the outcome of a request and the reason.
 
@@ -312,6 +349,7 @@
         commands.delete,
         commands.get,
         commands.move,
+        commands.drain,
         commands.explain,
         commands.status,
         commands.watch,
--- a/medlarhoist/source/domain_drain.py
+++ b/medlarhoist/source/domain_drain.py
@@ -11,8 +11,8 @@
 
 from medlarhoist.core.api_messages import ApplyRequest
 from medlarhoist.core.command import Outcome, Status
+from medlarhoist.core.domain_drain import build_drain_change
 from medlarhoist.core.interfaces import Ledger
-from medlarhoist.core.resource import Change, DomainDrain, key_of
 from medlarhoist.source.api_write import Writer
 
 
@@ -63,15 +63,3 @@
             'started it' if is_drained else 'ended it',
         )
     return outcome
-
-
-def build_drain_change(domain: str, *, is_drained: bool) -> Change:
-    """Return the change that starts or ends the drain of a failure domain.
-
-    Args:
-        domain: name of the failure domain.
-        is_drained: whether its targets shall receive no calls.
-    """
-    drain = DomainDrain(name=domain)
-    resource = drain if is_drained else None
-    return Change(key=key_of(drain), resource=resource)
