Test subsets, queues and log lines of domain drains

Cause: three effects of a drain had no test: the targets that a node of a drained domain keeps elsewhere, the rank of its calls there, and the log lines.

Change: tests of them; drains among the resources of the random commands.

--- a/medlarhoist/node/proxy/domain_drain_test.py
+++ b/medlarhoist/node/proxy/domain_drain_test.py
@@ -6,10 +6,21 @@
 """
 
 import asyncio
+import time
 
 import pytest
+from loguru import logger
+from msgspec.structs import replace
 
+from medlarhoist.core.admission import Load
+from medlarhoist.core.domain_drain import RETURN_S, DomainDrains
 from medlarhoist.core.quarantine import Suspicion
+from medlarhoist.node.proxy.drain_log import DrainLog
+from medlarhoist.node.proxy.peer import PeerService
+from medlarhoist.node.proxy.target_selector import (
+    LOCAL_SUBSET_SIZE,
+    REMOTE_SUBSET_SIZE,
+)
 from medlarhoist.standin.target_options import Fault
 
 DRAINED = frozenset(('a',))
@@ -25,6 +36,15 @@
         mesh.nodes[index].set_drained_domains(domains)
 
 
+@pytest.fixture(name='capture_logs')
+def _capture_logs():
+    """Return the list of messages that are logged meanwhile."""
+    messages = []
+    sink = logger.add(lambda line: messages.append(line.record['message']))
+    yield messages
+    logger.remove(sink)
+
+
 @pytest.fixture(name='run_counts')
 def _run_counts(run_mesh):
     """Run a scenario; return its result and the runs of each target."""
@@ -172,3 +192,55 @@
         return local._no_calls_reason
 
     assert run_counts(scenario)[0] == 'node is stopping'
+
+
+def test_a_node_of_a_drained_domain_keeps_more_targets_elsewhere(run_mesh):
+    """Its calls would all go to the few that it keeps for spillover."""
+
+    async def scenario(mesh):
+        await mesh.add('a')
+        template = mesh.registry.all_targets[0]
+        others = [
+            replace(template, domain='b', address=f'10.0.0.1:{number}')
+            for number in range(60)
+        ]
+        mesh.registry.set_targets((template, *others))
+        selector = mesh.nodes[0]._parts.selector
+        before = selector._list_targets('bookings', 'v1')
+        _drain(mesh, (0,))
+        return len(before), len(selector._list_targets('bookings', 'v1'))
+
+    kept, kept_in_drain = run_mesh(scenario)
+    assert kept == 1 + REMOTE_SUBSET_SIZE
+    assert kept_in_drain == LOCAL_SUBSET_SIZE + REMOTE_SUBSET_SIZE
+
+
+def test_calls_from_a_drained_domain_queue_like_those_from_here():
+    drains = DomainDrains()
+    peer = PeerService(None, 'a', b'key', time.time, drains)
+    assert (peer._is_spilled(b'a'), peer._is_spilled(b'b')) == (False, True)
+    drains.update(frozenset(('b',)), now=1)
+    assert not peer._is_spilled(b'b')
+    drains.update(frozenset(), now=2)
+    assert not peer._is_spilled(b'b')
+    drains.expire(2 + RETURN_S)
+    assert peer._is_spilled(b'b')
+
+
+def test_each_step_is_logged_once(capture_logs):
+    drains, log = DomainDrains(), DrainLog('a')
+    busy, idle = Load(3, 1, 0), Load(3, 0, 0)
+    log.record_change(drains.drained, DRAINED)
+    drains.update(DRAINED, now=1)
+    for load in (busy, idle, idle):
+        log.record_progress(drains, load, now=2)
+    log.record_change(DRAINED, frozenset())
+    drains.update(frozenset(), now=3)
+    for now in (4, 3 + RETURN_S, 4 + RETURN_S):
+        log.record_progress(drains, idle, now)
+    assert capture_logs == [
+        'drain: in force at this node',
+        'drain: the last call has left the target',
+        'drain: has ended at this node',
+        'drain: the domain has its share',
+    ]
--- a/medlarhoist/source/transition_race_test.py
+++ b/medlarhoist/source/transition_race_test.py
@@ -21,6 +21,7 @@
 from medlarhoist.core.compile import compile_snapshot
 from medlarhoist.core.resource import (
     Change,
+    DomainDrain,
     Key,
     Move,
     Route,
@@ -59,6 +60,7 @@
         new=LABELS,
         deadline_ms=st.just(10_000_000),
     ),
+    st.builds(DomainDrain, name=st.sampled_from(['east', 'west'])),
 )
 KEYS = RESOURCES.map(key_of)
 BASES = st.one_of(st.none(), st.integers(0, 6))
