Bound what a cold target receives

Cause: a target that has just started, or turns cold again, accepts few requests per second, but nodes sent it as many as any other.

Change: a service names the rate of its cold targets (cold_rate), a notice for how much longer its target is cold. The target's node, which all calls to it pass, spaces its calls at that rate; calls that have no turn soon are refused at once, so that they can try other targets. Where the next process on the address may be another one, the target is presumed to be cold until its next notice. Load reports say that a target is cold, and entry nodes prefer others meanwhile.

--- a/medlarhoist/core/admission.py
+++ b/medlarhoist/core/admission.py
@@ -30,6 +30,11 @@
 CROSS_DOMAIN_DELAY_SHARE: Final = 0.5
 # Callers that were refused together must not retry together.
 RETRY_AFTER_SPREAD: Final = 0.5
+# A cold target has room for few calls, and others may have more. So a call
+# waits for its turn there for no more than this share of the time that it has,
+# and can try others in the rest.
+COLD_WAIT_SHARE: Final = 0.125
+NESTED_COLD_WAIT_SHARE: Final = 0.5
 MIN_RETRY_AFTER_S: Final = 0.02
 MAX_RETRY_AFTER_S: Final = 5.0
 
@@ -55,6 +60,8 @@
         rate: requests per second that it accepts, zero for no limit.
         delay_s: time until it accepts the next request, seconds; zero without
             a limit.
+        cold_s: for how much longer it is cold and has such a limit for that
+            reason, seconds; zero for a warm target.
     """
 
     slots: int
@@ -63,6 +70,7 @@
     busy_s: float = INITIAL_BUSY_S
     rate: float = 0
     delay_s: float = 0
+    cold_s: float = 0
 
     @property
     def is_full(self) -> bool:
@@ -144,7 +152,8 @@
 
     A call whose objective has passed must finish before its deadline instead.
     A nested call must only get a slot before its deadline: it is short, and
-    its parent request fails without it in any case.
+    its parent request fails without it in any case. At a cold target a call
+    must get a slot soon, since others may have room.
 
     Args:
         load: present load of the target.
@@ -155,13 +164,30 @@
     if not load.slots:
         return False
     wait_s = wait_seconds(load, ahead)
+    if load.cold_s and not _is_soon(wait_s, requirements, now):
+        return False
     if requirements.is_nested:
         return now + wait_s <= requirements.deadline
-    limit = (
-        requirements.due if requirements.due > now else requirements.deadline
-    )
     tail_s = TAIL_FACTOR * (requirements.usual_s or load.busy_s)
-    return now + wait_s + tail_s <= limit
+    return now + wait_s + tail_s <= _aimed_end(requirements, now)
+
+
+def _is_soon(
+    wait_s: float,
+    requirements: CallRequirements,
+    now: float,
+) -> bool:
+    """Return whether a wait leaves a call the time to try other targets."""
+    if requirements.is_nested:
+        return wait_s <= NESTED_COLD_WAIT_SHARE * (requirements.deadline - now)
+    left_s = _aimed_end(requirements, now) - now
+    return wait_s <= COLD_WAIT_SHARE * left_s
+
+
+def _aimed_end(requirements: CallRequirements, now: float) -> float:
+    """Return the time of the objective, or the deadline once it is past."""
+    is_late = requirements.due <= now
+    return requirements.deadline if is_late else requirements.due
 
 
 def wait_seconds(load: Load, ahead: int) -> float:
--- a/medlarhoist/core/balance.py
+++ b/medlarhoist/core/balance.py
@@ -37,6 +37,9 @@
 # Nodes that hold the same load reports must not all select the same target.
 COST_JITTER: Final = 0.1
 MIN_KEPT_SHARE: Final = 0.5
+# A cold target has few turns, which the nodes that call it can't divide up. So
+# each counts half of the time between two turns as a wait.
+COLD_COST_TURNS: Final = 0.5
 
 
 class NodeLocation(Struct, frozen=True):
@@ -161,6 +164,8 @@
         cost += wait_s + FULL_COST_SHARE * load.busy_s
     cost *= view.failure_factor()
     cost *= view.confidence(context.now)
+    if load.cold_s:
+        cost += COLD_COST_TURNS / load.rate
     if target.domain == location.domain:
         return cost
     bytes_s = REMOTE_COST_S_PER_BYTE * context.answer_bytes
@@ -198,7 +203,9 @@
         expected_s *= context.usual_s / mean_s
     expected_s *= view.failure_factor()
     return (
-        not load.is_full and expected_s <= LOCAL_LATENCY_SHARE * context.left_s
+        not load.is_full
+        and not load.cold_s
+        and expected_s <= LOCAL_LATENCY_SHARE * context.left_s
     )
 
 
--- a/medlarhoist/core/check.py
+++ b/medlarhoist/core/check.py
@@ -174,6 +174,7 @@
         *check_name('name', service.name),
         *check_range('slots', service.slots, 1, SLOTS_LIMIT),
         *check_range('connections', connections, 1, CONNECTIONS_LIMIT),
+        *check_range('cold_rate', service.cold_rate, 0, RATE_LIMIT),
     )
 
 
--- a/medlarhoist/core/load_headers.py
+++ b/medlarhoist/core/load_headers.py
@@ -15,6 +15,11 @@
 _REQUIREMENTS_FIELDS: Final = 3
 _LOAD_FIELDS: Final = 4
 _LIMITED_LOAD_FIELDS: Final = 6
+_COLD_LOAD_FIELDS: Final = 7
+_LOAD_FIELD_COUNTS: Final = frozenset(
+    (_LOAD_FIELDS, _LIMITED_LOAD_FIELDS, _COLD_LOAD_FIELDS)
+)
+_MAX_COLD_MS: Final = 999_999_999
 _MILLI: Final = 1000
 # float() also reads infinities, other digits and underscores.
 _DECIMAL: Final = re.compile(rb'[0-9]{1,9}([.][0-9]{0,40})?')
@@ -77,31 +82,35 @@
     Its fields are the slots, the used slots, the waiting calls, and the
     average milliseconds that a call holds a slot, at least one. A target that
     limits the requests per second has two more: requests per 1000 seconds, at
-    least one, and the milliseconds until it accepts the next.
+    least one, and the milliseconds until it accepts the next. One that does so
+    since it is cold has one more: for how many milliseconds it stays cold.
     """
     busy_ms = max(1, round(load.busy_s * _MS_PER_SECOND))
     numbers = [load.slots, load.used, load.waiting, busy_ms]
     if load.rate:
         numbers.append(max(1, round(load.rate * _MILLI)))
         numbers.append(round(load.delay_s * _MS_PER_SECOND))
+    if load.rate and load.cold_s:
+        cold_ms = min(_MAX_COLD_MS, round(load.cold_s * _MS_PER_SECOND))
+        numbers.append(max(1, cold_ms))
     return b' '.join(b'%d' % number for number in numbers)
 
 
 def parse_load(value: bytes | None) -> Load | None:
     """Return the load that a node reports, None without a valid header."""
-    numbers = _parse_numbers(value, _LIMITED_LOAD_FIELDS)
-    if numbers is None:
-        numbers = _parse_numbers(value, _LOAD_FIELDS)
-    if numbers is None:
+    count = len((value or b'').split(b' '))
+    numbers = _parse_numbers(value, count)
+    if numbers is None or count not in _LOAD_FIELD_COUNTS:
         return None
     slots, used, waiting, busy_ms, *limit = numbers
     load = Load(slots, used, waiting, busy_ms / _MS_PER_SECOND)
-    if not limit:
+    if not limit or not limit[0]:
         return load
     return replace(
         load,
         rate=limit[0] / _MILLI,
         delay_s=limit[1] / _MS_PER_SECOND,
+        cold_s=sum(limit[2:]) / _MS_PER_SECOND,
     )
 
 
--- a/medlarhoist/core/resource.py
+++ b/medlarhoist/core/resource.py
@@ -37,12 +37,15 @@
             calls; until then every version receives traffic.
         slots: number of requests that one target runs concurrently.
         connections: number of connections that one target accepts.
+        cold_rate: requests per second that one target accepts while it is
+            cold, from all nodes together; zero for no such limit.
     """
 
     name: str
     current: str = ''
     slots: int = 20
     connections: int = 110
+    cold_rate: float = float()
 
 
 class WeightedService(Struct, frozen=True, kw_only=True):
--- a/medlarhoist/core/target.py
+++ b/medlarhoist/core/target.py
@@ -77,6 +77,7 @@
         born_ms: when this run started, milliseconds since 1970, zero if
             unknown; a notice of an earlier run is outdated and ignored.
         sequence: grows with each notice of a run; a lower one is outdated.
+        cold_ms: for how much longer it is cold, milliseconds.
     """
 
     service: ServiceName
@@ -88,6 +89,7 @@
     run_id: RunId = ''
     born_ms: Annotated[int, Meta(ge=0, le=MAX_MILLISECONDS)] = 0
     sequence: Annotated[int, Meta(ge=0, le=MAX_SEQUENCE)] = 0
+    cold_ms: Annotated[int, Meta(ge=0, le=MAX_MILLISECONDS)] = 0
 
     @property
     def address(self) -> str:
--- a/medlarhoist/core/target_view.py
+++ b/medlarhoist/core/target_view.py
@@ -132,17 +132,29 @@
             is_new = not (self.responses or self.outstanding or self.failures)
             busy_s = UNTRIED_BUSY_S if is_new else self.latency_s
             rate = self.condition.rate
-            return Load(slots, self.outstanding, 0, busy_s, rate)
+            load = Load(slots, self.outstanding, 0, busy_s, rate)
+            return load if reported is None else self._keep_cold(load, now)
         delay_s: float = 0
         if reported.rate:
             turns_s = self.sent_since_report / reported.rate
             passed_s = now - self.load_reported_at
             delay_s = max(0, reported.delay_s + turns_s - passed_s)
-        return replace(
+        load = replace(
             reported,
             used=reported.used + self.sent_since_report,
             delay_s=delay_s,
         )
+        return self._keep_cold(load, now)
+
+    def _keep_cold(self, load: Load, now: float) -> Load:
+        """Return a load with the coldness that is left of the last report."""
+        reported = self.load
+        if reported is None or not reported.cold_s:
+            return load
+        cold_s = reported.cold_s - (now - self.load_reported_at)
+        if cold_s <= 0:
+            return replace(load, cold_s=0)
+        return replace(load, rate=reported.rate, cold_s=cold_s)
 
     def confidence(self, now: float) -> float:
         """Return how far the recorded measurements still apply, 0 to 1.
--- a/medlarhoist/node/proxy/factory.py
+++ b/medlarhoist/node/proxy/factory.py
@@ -53,7 +53,13 @@
         return compiled.services.get(name) if compiled else None
 
     suspects = TargetSuspects(fingerprint_key, quarantine)
+
+    def is_drained() -> bool:  # noqa: WPS430
+        compiled = configuration.active
+        return compiled is not None and cfg.domain in compiled.drained_domains
+
     local = LocalTarget(find_service, header_names, suspects)
+    local.cold.is_drained = is_drained
     selector = TargetSelector(
         cfg.name,
         NodeLocation(cfg.domain, cfg.peer),
--- a/medlarhoist/node/proxy/local.py
+++ b/medlarhoist/node/proxy/local.py
@@ -32,6 +32,7 @@
 from medlarhoist.core.verdict import SERVER_FAULT_STATUS, Verdict
 from medlarhoist.node.proxy.attempt import Failure, Request
 from medlarhoist.node.proxy.call_log import log_limit, log_refusal
+from medlarhoist.node.proxy.cold_target import ColdTarget
 from medlarhoist.node.proxy.forwarded import ForwardedCall
 from medlarhoist.node.proxy.pool import ConnectionPool, send_request
 from medlarhoist.node.proxy.response import Response
@@ -49,6 +50,8 @@
         mismatched: responses that did not belong to their request.
         malformed: responses that were no HTTP, or had bytes after their end.
         refused: calls that this node refused without sending them.
+        refused_cold: those of them that a cold target had no turn for.
+        cold: whether the target is cold.
         on_leaving: called with the key of a run that states that it leaves.
         stated: what the present run of the target has stated of itself.
         suspects: the requests that are suspected to crash the target.
@@ -64,10 +67,12 @@
         '_rng',
         '_running',
         '_slots',
+        'cold',
         'malformed',
         'mismatched',
         'on_leaving',
         'refused',
+        'refused_cold',
         'stated',
         'suspects',
     )
@@ -96,10 +101,12 @@
         self._pool = ConnectionPool('', self._count_malformed)
         self._running: set[str] = set()
         self._slots = Slots(self._count_slots)
+        self.cold = ColdTarget(find_service, self._slots.set_cold)
         self._is_draining = False
         self.on_leaving: Callable[[str], None] = _ignore
         self.stated = RunCondition(self._apply_condition)
         self.refused = 0
+        self.refused_cold = 0
         self.mismatched = 0
         self.malformed = 0
 
@@ -138,7 +145,9 @@
             return
         self.suspects.address = notice.address
         self.stated.start_run(notice.run_key)
-        if before is None or not is_same_run(before, notice):
+        is_new_run = before is None or not is_same_run(before, notice)
+        self.cold.set_notice(notice, is_new_run=is_new_run)
+        if is_new_run:
             self.suspects.start_run()
             self._echoes_ids = False
             self._pool.close_idle()
@@ -222,6 +231,8 @@
             # Nested calls are made before the response, not after it.
             self._running.discard(request.caller_id)
         if isinstance(outcome, Failure):
+            if outcome.is_unreachable and not self._pool.is_full:
+                self.cold.presume()
             _release_after(self._slots, outcome)
             return await self.suspects.handle_failure(outcome, run)
         response = outcome
@@ -255,6 +266,7 @@
     def close(self) -> None:
         """Refuse waiting calls and abort all connections to the target."""
         self._slots.refuse_waiters()
+        self.cold.stop()
         self._pool.close()
 
     def _count_malformed(self) -> None:
@@ -322,8 +334,11 @@
         if reason:
             return reason
         if not await self._slots.acquire(call.need):
-            is_limited = self._slots.load.delay_s > 0
-            return 'over the limit of the target' if is_limited else 'no slot'
+            load = self._slots.load
+            self.refused_cold += load.cold_s > 0
+            if load.cold_s:
+                return 'target is cold'
+            return 'over the limit of the target' if load.delay_s else 'no slot'
         # During the wait the target may have been replaced by another one.
         reason = self._find_refusal_reason(call)
         if reason:
--- a/medlarhoist/node/proxy/pool.py
+++ b/medlarhoist/node/proxy/pool.py
@@ -62,6 +62,11 @@
         """Return the number of open connections."""
         return len(self._connections)
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether no more connections may be opened."""
+        return bool(self.limit) and self.size >= self.limit
+
     async def acquire(
         self,
         *,
@@ -84,7 +89,7 @@
             if is_recent and conn.is_open and conn.has_no_input():
                 return conn
             conn.abort()
-        if self.limit and self.size >= self.limit:
+        if self.is_full:
             return None
         return await self._open()
 
--- a/medlarhoist/node/proxy/slots.py
+++ b/medlarhoist/node/proxy/slots.py
@@ -23,7 +23,7 @@
     can_finish_in_time,
     queue_key,
 )
-from medlarhoist.core.rate_limit import RateLimiter
+from medlarhoist.core.rate_limit import TargetLimiter
 
 CANCEL_HOLD_S: Final = 0.05
 _SMOOTHING: Final = 0.1
@@ -78,7 +78,7 @@
         """
         self._mean_s = INITIAL_BUSY_S
         self._count = count
-        self._limiter = RateLimiter()
+        self._limiter = TargetLimiter()
         self._sample_count = 0
         self._timer: asyncio.TimerHandle | None = None
         self._class_mean_s: dict[tuple[bool, int], float] = {}
@@ -89,18 +89,33 @@
     @property
     def load(self) -> Load:
         """Return the present load."""
+        now = time.monotonic()
         return Load(
             self._count(),
             self.used,
             len(self._waiters),
             self._mean_s,
             self._limiter.rate,
-            self._limiter.delay_s(time.monotonic()),
+            self._limiter.delay_s(now),
+            self._limiter.cold_seconds(now),
         )
 
     def set_rate(self, rate: float) -> None:
         """Limit the requests per second; zero for no limit."""
-        self._limiter.set_rate(rate, time.monotonic())
+        self._limiter.set_stated(rate, time.monotonic())
+        self._start_waiters()
+
+    def set_cold(self, rate: float, cold_s: float) -> None:
+        """Limit the requests per second while the target is cold.
+
+        Queued calls that can't have a slot soon any more are refused.
+
+        Args:
+            rate: requests per second, zero once it is warm.
+            cold_s: for how much longer it is cold, seconds.
+        """
+        self._limiter.set_cold(rate, cold_s, time.monotonic())
+        self._refuse_late(0)
         self._start_waiters()
 
     async def acquire(self, requirements: CallRequirements) -> bool:
--- a/medlarhoist/parser/manifest.py
+++ b/medlarhoist/parser/manifest.py
@@ -78,6 +78,7 @@
     current: str = ''
     slots: Slots = 20
     connections: Connections = 110
+    cold_rate: float = float()
 
 
 class WeightedServiceManifest(Struct, frozen=True, forbid_unknown_fields=True):
@@ -236,6 +237,7 @@
             current=manifest.current,
             slots=manifest.slots,
             connections=manifest.connections,
+            cold_rate=manifest.cold_rate,
         )
     if isinstance(manifest, RouteManifest):
         return _build_route(manifest)
--- a/medlarhoist/platform/announcement.py
+++ b/medlarhoist/platform/announcement.py
@@ -6,6 +6,7 @@
 knows of its instance is compared in core.notice_check.
 """
 
+from math import ceil
 from typing import Annotated, Any, Final
 
 from msgspec import Meta, Struct, ValidationError, convert, field, json
@@ -19,13 +20,11 @@
 
 MAX_COLD_S: Final = 1_000_000_000
 MAX_PORT_DIGITS: Final = 5
+_MS_PER_SECOND: Final = 1000
 
 
 class _Heartbeat(Struct, kw_only=True):
-    """The fields of a heartbeat's body.
-
-    `cold_remaining_s` is required, but not used.
-    """
+    """The fields of a heartbeat's body."""
 
     service: str
     address: str
@@ -90,6 +89,7 @@
         'run_id': run_id,
         'born_ms': heartbeat.born_ms,
         'sequence': heartbeat.sequence,
+        'cold_ms': ceil(heartbeat.cold_s * _MS_PER_SECOND),
     }
     try:
         return Ok(convert(fields, TargetNotice))
--- a/medlarhoist/platform/configuration.py
+++ b/medlarhoist/platform/configuration.py
@@ -31,11 +31,13 @@
 MAX_SECONDS: Final = 1_000_000_000
 Number = Annotated[int, Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 Seconds = Annotated[float, Meta(ge=-MAX_SECONDS, le=MAX_SECONDS)]
+Rate = Annotated[float, Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 
 
 class _Service(Struct, kw_only=True):
     name: str
     connections: Number = field(name='max_connections')
+    cold_rate: Rate = field(name='cold_per_s', default=float())
 
 
 class _WeightedService(Struct, kw_only=True):
@@ -140,6 +142,7 @@
             name=service.name,
             slots=SLOTS_LIMIT,
             connections=service.connections,
+            cold_rate=service.cold_rate,
         )
         for service in doc.services
     ]
