Leave a domain whose targets are cold, and test cold targets

Cause: a call may try four targets. In a domain whose targets all turned cold at once, calls that had not heard of it were refused by four of them and failed, although other domains had room. And the digest of a whole number differs from that of an equal fraction, so a rate without a fraction was told apart.

Change: after two refusals by cold targets a call goes to another domain. The rate is always a fraction. A limit that a target states is logged as such only.

--- a/bench/calls_mesh.py
+++ b/bench/calls_mesh.py
@@ -108,13 +108,13 @@
         self.notify(index, self.targets[index].port)
         self.registry.renew(self.settings[index].peer)
 
-    def start_run(self, index: int, run_id: str) -> None:
+    def start_run(self, index: int, run_id: str, cold_ms: int = 0) -> None:
         """Start the next run of a target, at the same address."""
         state = self.targets[index].state
         state.is_leaving = False
         state.told.clear()
         self._run_ids[index] = run_id
-        self.notify(index, self.targets[index].port)
+        self.notify(index, self.targets[index].port, cold_ms=cold_ms)
         self.registry.renew(self.settings[index].peer)
 
     def notify(
@@ -122,6 +122,7 @@
         index: int,
         port: int,
         phase: TargetPhase = TargetPhase.READY,
+        cold_ms: int = 0,
     ) -> None:
         """Set the notice that a node has received from its target."""
         options = self.targets[index].state.options
@@ -133,6 +134,7 @@
                 slots=options.slots,
                 phase=phase,
                 run_id=self._run_ids.get(index, 'run-1'),
+                cold_ms=cold_ms,
             ),
         )
 
--- a/bench/calls_static.py
+++ b/bench/calls_static.py
@@ -123,6 +123,7 @@
     share: Share | None = None,
     limits: Limits | None = None,
     slots: int = DEFAULT_SLOTS,
+    cold_rate: float = 0,
 ) -> Compiled:
     """Return a configuration with one service.
 
@@ -133,7 +134,11 @@
         share: share of a new version; None for no rollout.
         limits: limits of callers' requests; None for the default.
         slots: slots of each target of the service.
+        cold_rate: requests per second that a cold target accepts.
     """
+    service = Service(
+        name=SERVICE, current=LABEL, slots=slots, cold_rate=cold_rate
+    )
     routes = (
         Route(
             name='all',
@@ -157,7 +162,7 @@
     )
     snapshot = Snapshot(
         version=1,
-        services=(Service(name=SERVICE, current=LABEL, slots=slots),),
+        services=(service,),
         routes=routes,
         shares=(share,) if share else (),
         limits=(limits,) if limits else (),
--- a/medlarhoist/core/admission_test.py
+++ b/medlarhoist/core/admission_test.py
@@ -5,6 +5,7 @@
 from hypothesis import given
 from hypothesis import settings as check
 from hypothesis import strategies as st
+from msgspec.structs import replace
 from pytest import approx
 
 from medlarhoist.core.admission import (
@@ -12,6 +13,7 @@
     CallRequirements,
     Load,
     admit,
+    can_finish_in_time,
     queue_key,
     retry_after_seconds,
     wait_seconds,
@@ -170,3 +172,26 @@
 def test_reported_load_includes_the_limit():
     for load in (Load(20, 3, 1, 0.1), Load(20, 3, 1, 0.1, 4.1, 0.25)):
         assert parse_load(format_load(load)) == load
+
+
+COLD = Load(3, 0, 0, 0.05, rate=5, delay_s=0.1, cold_s=3)
+
+
+def test_a_call_does_not_wait_long_for_a_cold_target():
+    """Others may have room, so it must have the time to try them."""
+    assert admit(COLD, _requirements(due=0.5), NOW, 0) is Admission.REFUSE
+    assert admit(COLD, _requirements(due=1.0), NOW, 0) is Admission.WAIT
+    assert admit(COLD, _requirements(due=1.0), NOW, 1) is Admission.REFUSE
+
+
+def test_a_nested_call_waits_longer_for_a_cold_target():
+    nested = _requirements(left=0.4, is_nested=True)
+    assert admit(COLD, nested, NOW, 0) is Admission.WAIT
+    assert admit(COLD, nested, NOW, 1) is Admission.REFUSE
+
+
+def test_a_call_that_may_wait_for_a_cold_target_may_go_on_waiting():
+    call = _requirements(due=1.0)
+    for passed_s in (0.025, 0.05, 0.075, 0.1):
+        load = replace(COLD, delay_s=COLD.delay_s - passed_s)
+        assert can_finish_in_time(load, call, NOW + passed_s, 0)
--- a/medlarhoist/core/balance.py
+++ b/medlarhoist/core/balance.py
@@ -93,12 +93,15 @@
             the first one has finished. Routes of one service take different
             times, so the mean of a target is compared with that of other
             targets only.
+        is_domain_cold: whether targets of other domains are selected before
+            those of this node's domain, as these are likely to be cold.
     """
 
     now: float
     left_s: float = inf
     answer_bytes: float = 0
     usual_s: float = 0
+    is_domain_cold: bool = False
 
 
 def pick_target(
@@ -125,6 +128,8 @@
     ]
     local = [target for target in ready if target.domain == location.domain]
     remote = [target for target in ready if target.domain != location.domain]
+    if remote and context.is_domain_cold:
+        local = []
     local = _without_ejected(local, views, context.now)
     mean_s = _mean_busy(ready, views, context.now)
     prompt = [
--- a/medlarhoist/core/balance_test.py
+++ b/medlarhoist/core/balance_test.py
@@ -199,3 +199,51 @@
     for _ in range(2):
         limited.record_send(NOW)
     assert pick(targets, {1: limited, 2: other})['n2'] == 300
+
+
+def _cold_view(cold_s=3.0):
+    view = _view()
+    view.record_load(Load(20, 0, 0, 0.1, 5, 0, cold_s), NOW)
+    return view
+
+
+def test_other_targets_are_used_before_a_cold_one(pick):
+    targets = [_target(1), _target(2), _target(3, 'b')]
+    busy = _view()
+    busy.record_load(Load(20, 19, 0, 0.1), NOW)
+    assert set(pick(targets[:2], {1: _cold_view(), 2: busy})) == {'n2'}
+    assert set(pick([targets[0], targets[2]], {1: _cold_view()})) == {'n3'}
+
+
+def test_a_cold_target_is_used_where_the_others_are_full(pick):
+    full = _view()
+    full.record_load(Load(20, 20, 60, 0.1), NOW)
+    targets = [_target(1), _target(2)]
+    assert set(pick(targets, {1: _cold_view(), 2: full})) == {'n1'}
+
+
+def test_cold_targets_share_the_calls_if_there_are_no_others(pick):
+    targets = [_target(1), _target(2), _target(3, 'b')]
+    views = {number: _cold_view() for number in (1, 2, 3)}
+    found = pick(targets, views)
+    assert min(found['n1'], found['n2']) > 75
+
+
+@pytest.mark.parametrize(
+    ('later_s', 'is_cold'), [(0.5, True), (2.9, True), (3.1, False)]
+)
+def test_a_target_counts_as_cold_for_as_long_as_its_node_has_said(
+    later_s, is_cold
+):
+    """Also when the rest of the report is outdated."""
+    load = _cold_view().present_load(20, NOW + later_s)
+    assert bool(load.cold_s) is is_cold
+
+
+def test_a_call_leaves_a_domain_that_is_cold_if_there_is_another():
+    targets = [_target(1), _target(2, 'b')]
+    views = {target.address: TargetView() for target in targets}
+    context = SelectionContext(NOW, is_domain_cold=True)
+    rng = Random(1)
+    assert pick_target(targets, views, HERE, context, rng).node == 'n2'
+    assert pick_target(targets[:1], views, HERE, context, rng).node == 'n1'
--- a/medlarhoist/core/rate_limit.py
+++ b/medlarhoist/core/rate_limit.py
@@ -70,9 +70,15 @@
         rates = (self._stated.rate, self._cold.rate)
         return min(filter(None, rates), default=0)
 
-    def set_stated(self, rate: float, now: float) -> None:
-        """Set the limit that the target states, zero for none."""
+    def set_stated(self, rate: float, now: float) -> bool:
+        """Set the limit that the target states, zero for none.
+
+        Returns:
+            Whether that begins or ends a limit.
+        """
+        is_change = bool(rate) != bool(self._stated.rate)
         self._stated.set_rate(rate, now)
+        return is_change
 
     def set_cold(self, rate: float, cold_s: float, now: float) -> None:
         """Set the limit of a cold target.
--- a/medlarhoist/core/rate_limit_test.py
+++ b/medlarhoist/core/rate_limit_test.py
@@ -4,7 +4,7 @@
 from hypothesis import settings as check
 from hypothesis import strategies as st
 
-from medlarhoist.core.rate_limit import RateLimiter
+from medlarhoist.core.rate_limit import MIN_COLD_S, RateLimiter, TargetLimiter
 
 WINDOW_S = 4.0
 
@@ -46,3 +46,56 @@
     limiter.set_rate(1, 0)
     limiter.set_rate(0, 0)
     assert limiter.delay_s(0) == 0
+
+
+def _admit(limiter, arrivals):
+    """Return the times of the arrivals that the limiter admits."""
+    admitted = []
+    for now in arrivals:
+        if not limiter.delay_s(now):
+            limiter.take(now)
+            admitted.append(now)
+    return admitted
+
+
+@check(derandomize=True, deadline=None)
+@given(
+    st.floats(0.5, 50),
+    st.floats(0, 2),
+    st.lists(st.floats(0, 0.3), min_size=1, max_size=300),
+)
+def test_no_second_of_a_cold_target_holds_more_than_its_turns(
+    rate, turns_cold_at, gaps
+):
+    """Whatever the load, and whenever it turns cold."""
+    arrivals = [sum(gaps[: count + 1]) for count in range(len(gaps))]
+    limiter = TargetLimiter()
+    _admit(limiter, [at for at in arrivals if at < turns_cold_at])
+    limiter.set_cold(rate, 60, turns_cold_at)
+    admitted = _admit(limiter, [at for at in arrivals if at >= turns_cold_at])
+    for start in admitted:
+        inside = [at for at in admitted if start <= at < start + 1]
+        assert len(inside) <= 1.5 * rate + 2
+
+
+def test_a_cold_target_is_used_up_to_its_rate():
+    limiter = TargetLimiter()
+    limiter.set_cold(5, 60, 0)
+    assert len(_admit(limiter, [step / 1000 for step in range(10_000)])) >= 49
+
+
+def test_the_lower_of_two_limits_binds():
+    limiter = TargetLimiter()
+    limiter.set_stated(10, 0)
+    limiter.set_cold(2, 1, 0)
+    assert limiter.rate == 2
+    limiter.set_cold(0, 0, 1)
+    assert limiter.rate == 10
+    assert not limiter.cold_seconds(1)
+
+
+def test_a_limit_past_the_stated_time_is_still_reported_as_cold():
+    limiter = TargetLimiter()
+    limiter.set_cold(2, 4, 0)
+    assert limiter.cold_seconds(1) == 3
+    assert limiter.cold_seconds(5) == MIN_COLD_S
--- a/medlarhoist/node/proxy/call.py
+++ b/medlarhoist/node/proxy/call.py
@@ -49,6 +49,7 @@
         tried: addresses of the targets that were tried.
         target: target of the latest attempt, None before the first.
         arrivals: number of failed attempts that reached a target, or may have.
+        cold_refusals: number of attempts that a cold target had no turn for.
         attempt_started: when the latest attempt began.
         may_have_run: whether the request may have run in a failed attempt.
         version: version of the configuration that routes the call.
@@ -62,6 +63,7 @@
         'attempt_started',
         'body',
         'caller_id',
+        'cold_refusals',
         'deadline',
         'due',
         'fallback_label',
@@ -113,6 +115,7 @@
         self.body = ReplayableBody(exchange.body)
         self.tried: set[str] = set()
         self.arrivals = 0
+        self.cold_refusals = 0
         self.attempt_started = self.started
         self.may_have_run = False
         self.target: Target | None = None
@@ -182,11 +185,15 @@
     def count_arrival(self, failure: Failure) -> None:
         """Count a failed attempt if it reached a target, or may have.
 
+        One that a cold target had no turn for is counted by itself.
+
         Args:
             failure: how the attempt failed.
         """
         may_have_run = failure.verdict is not Verdict.DID_NOT_RUN
         self.arrivals += may_have_run or failure.has_arrived
+        load = failure.load
+        self.cold_refusals += load is not None and load.cold_s > 0
 
     @property
     def verdict(self) -> Verdict:
--- a/medlarhoist/node/proxy/entry.py
+++ b/medlarhoist/node/proxy/entry.py
@@ -38,6 +38,9 @@
 
 # Targets that one call is sent to, including those that refuse it.
 MAX_TARGETS_TRIED: Final = 4
+# The targets of a domain often turn cold together. A call that has met two of
+# them goes on to another domain, as it may try few targets.
+COLD_REFUSALS_TO_LEAVE: Final = 2
 _MS_PER_SECOND: Final = 1000
 _NO_CONFIGURATION: Final = Failure(
     Verdict.DID_NOT_RUN,
@@ -214,7 +217,11 @@
             call.label,
             call.tried,
             SelectionContext(
-                now, call.due - now, average.answer_bytes, average.seconds
+                now,
+                call.due - now,
+                average.answer_bytes,
+                average.seconds,
+                is_domain_cold=call.cold_refusals >= COLD_REFUSALS_TO_LEAVE,
             ),
         )
 
--- a/medlarhoist/node/proxy/local.py
+++ b/medlarhoist/node/proxy/local.py
@@ -361,9 +361,8 @@
         return 'target is leaving' if self.stated.condition.is_leaving else ''
 
     def _apply_condition(self, condition: Condition) -> None:
-        if bool(condition.rate) != bool(self.load.rate):
+        if self._slots.set_rate(condition.rate):
             log_limit(condition)
-        self._slots.set_rate(condition.rate)
         if condition.is_leaving:
             self._slots.refuse_waiters()
             self.on_leaving(condition.run_key)
--- a/medlarhoist/node/proxy/slots.py
+++ b/medlarhoist/node/proxy/slots.py
@@ -100,10 +100,15 @@
             self._limiter.cold_seconds(now),
         )
 
-    def set_rate(self, rate: float) -> None:
-        """Limit the requests per second; zero for no limit."""
-        self._limiter.set_stated(rate, time.monotonic())
+    def set_rate(self, rate: float) -> bool:
+        """Limit the requests per second; zero for no limit.
+
+        Returns:
+            Whether that begins or ends a limit.
+        """
+        is_change = self._limiter.set_stated(rate, time.monotonic())
         self._start_waiters()
+        return is_change
 
     def set_cold(self, rate: float, cold_s: float) -> None:
         """Limit the requests per second while the target is cold.
--- a/medlarhoist/platform/announcement_test.py
+++ b/medlarhoist/platform/announcement_test.py
@@ -35,6 +35,15 @@
     assert (notice.born_ms, notice.sequence) == (BORN_MS, 4)
 
 
+@pytest.mark.parametrize(
+    ('stated', 'cold_ms'), [(0, 0), (2.9, 2900), (3, 3000)]
+)
+def test_a_heartbeat_says_for_how_long_its_target_is_cold(
+    heartbeat, stated, cold_ms
+):
+    assert _read(heartbeat, cold_remaining_s=stated).ok_value.cold_ms == cold_ms
+
+
 @pytest.mark.parametrize(
     'changes',
     [
--- a/medlarhoist/platform/boundary_test.py
+++ b/medlarhoist/platform/boundary_test.py
@@ -19,7 +19,7 @@
             'virtual_hosts|path_prefix|route_type|traffic_split',
             'target_latency_s|max_attempts|max_connections|health_path',
             'max_header_bytes|max_body_bytes|header_timeout_s|idle_timeout_s',
-            'base_version|target_version["\']|cold_remaining_s',
+            'base_version|target_version["\']|cold_remaining_s|cold_per_s',
             'heartbeat_url|data_dir[^a-z]|port_range|machine_class',
             'counts_as_loss|control_plane|non_idempotent|sidecar',
             'medlarhoist[.]platform',
--- a/medlarhoist/platform/configuration.py
+++ b/medlarhoist/platform/configuration.py
@@ -142,7 +142,8 @@
             name=service.name,
             slots=SLOTS_LIMIT,
             connections=service.connections,
-            cold_rate=service.cold_rate,
+            # The digest tells a whole number from an equal fraction.
+            cold_rate=float(service.cold_rate),
         )
         for service in doc.services
     ]
--- a/medlarhoist/platform/configuration_test.py
+++ b/medlarhoist/platform/configuration_test.py
@@ -13,6 +13,7 @@
 from medlarhoist.core.api_messages import REVISION_LIMIT
 from medlarhoist.core.command import Activate, Replace, Status
 from medlarhoist.core.compile import compile_snapshot
+from medlarhoist.core.digest import fingerprint_of
 from medlarhoist.core.state import State
 from medlarhoist.platform.configuration import read_configuration
 from medlarhoist.source.transition import apply_command
@@ -74,6 +75,25 @@
     assert (limits.head_timeout_ms, limits.idle_timeout_ms) == (3000, 15_000)
 
 
+def test_a_service_names_the_rate_of_its_cold_targets(document):
+    request = read_configuration(_encode(document)).ok_value
+    assert [each.cold_rate for each in request.resources[:2]] == [4.65, 0]
+
+
+def test_a_whole_rate_has_the_digest_of_an_equal_fraction(document):
+    services = [
+        {'name': 'huvo11a', 'max_connections': 9, 'cold_per_s': number}
+        for number in (5, 5.0)
+    ]
+    whole, fraction = (
+        read_configuration(_encode(document, services=[service])).ok_value
+        for service in services
+    )
+    assert fingerprint_of(whole.resources[0]) == fingerprint_of(
+        fraction.resources[0]
+    )
+
+
 @pytest.mark.parametrize(
     ('kind', 'is_idempotent'),
     [
--- a/medlarhoist/platform/conftest.py
+++ b/medlarhoist/platform/conftest.py
@@ -8,7 +8,12 @@
     'version': 7,
     'base_version': 5,
     'services': [
-        {'name': 'huvo11a', 'health_path': '/health', 'max_connections': 110},
+        {
+            'name': 'huvo11a',
+            'health_path': '/health',
+            'max_connections': 110,
+            'cold_per_s': 4.65,
+        },
         {'name': 'kafi81c', 'health_path': '/health', 'max_connections': 90},
     ],
     'limits': {
