--- a/medlarhoist/node/metrics.py
+++ b/medlarhoist/node/metrics.py
@@ -79,6 +79,20 @@
     name='target_rate_limit',
     doc='Requests per second that the target of this VM accepts, 0 for any.',
 )
+TARGET_COLD: Final = Metric(
+    name='target_cold_seconds',
+    doc='How much longer the target of this VM is limited as a cold one.',
+)
+COLD_STARTS: Final = Metric(
+    name='target_cold_starts_total',
+    doc='How often the target of this VM has turned cold.',
+    family=Family.COUNTER,
+)
+COLD_REFUSALS: Final = Metric(
+    name='cold_refusals_total',
+    doc='Calls that this node refused as its target is cold.',
+    family=Family.COUNTER,
+)
 SUSPECT_REQUESTS: Final = Metric(
     name='suspect_requests',
     doc='Requests known to have crashed targets: suspected, or quarantined.',
@@ -128,6 +142,9 @@
     SLOTS_USED,
     CALLS_WAITING,
     TARGET_RATE_LIMIT,
+    TARGET_COLD,
+    COLD_STARTS,
+    COLD_REFUSALS,
     SUSPECT_REQUESTS,
     QUARANTINE_REFUSALS,
     ENDED_WITH_TARGET,
@@ -195,6 +212,9 @@
         (SLOTS_USED, proxy.slots_used),
         (CALLS_WAITING, proxy.waiting),
         (TARGET_RATE_LIMIT, proxy.rate_limit),
+        (TARGET_COLD, proxy.target_cold_s),
+        (COLD_STARTS, proxy.cold_starts),
+        (COLD_REFUSALS, proxy.cold_refusals),
         (QUARANTINE_REFUSALS, proxy.quarantine_refusals),
         (ENDED_WITH_TARGET, proxy.target_deaths),
     ):
--- a/medlarhoist/node/proxy/proxy.py
+++ b/medlarhoist/node/proxy/proxy.py
@@ -56,6 +56,10 @@
         waiting: calls that wait for a slot.
         rate_limit: requests per second that the target accepts, zero for no
             limit.
+        target_cold_s: for how much longer the target is limited as a cold
+            one, seconds; zero if it is not.
+        cold_starts: how often the target has turned cold.
+        cold_refusals: calls that this node refused as its target is cold.
         is_target_leaving: whether the target has stated that it leaves.
         refused: calls that this node refused for its target.
         target_deaths: requests in progress when a run of the target ended.
@@ -79,6 +83,9 @@
     slots_peak: int
     waiting: int
     rate_limit: float
+    target_cold_s: float
+    cold_starts: int
+    cold_refusals: int
     is_target_leaving: bool
     refused: int
     target_deaths: int
@@ -246,6 +253,9 @@
             slots_peak=self._parts.local.peak,
             waiting=load.waiting,
             rate_limit=load.rate,
+            target_cold_s=load.cold_s,
+            cold_starts=self._parts.local.cold.started,
+            cold_refusals=self._parts.local.refused_cold,
             is_target_leaving=self._parts.local.stated.condition.is_leaving,
             refused=self._parts.local.refused,
             target_deaths=suspects.deaths,
