--- a/medlarhoist/core/balance.py
+++ b/medlarhoist/core/balance.py
@@ -37,6 +37,9 @@
 # Nodes that hold the same load reports must not all select the same target.
 COST_JITTER: Final = 0.1
 MIN_KEPT_SHARE: Final = 0.5
+# A cold target has few turns, which the nodes that call it can't divide up. So
+# each counts half of the time between two turns as a wait.
+COLD_COST_TURNS: Final = 0.5
 
 
 class NodeLocation(Struct, frozen=True):
@@ -90,12 +93,15 @@
             the first one has finished. Routes of one service take different
             times, so the mean of a target is compared with that of other
             targets only.
+        is_domain_cold: whether targets of other domains are selected before
+            those of this node's domain, as these are likely to be cold.
     """
 
     now: float
     left_s: float = inf
     answer_bytes: float = 0
     usual_s: float = 0
+    is_domain_cold: bool = False
 
 
 def pick_target(
@@ -122,6 +128,8 @@
     ]
     local = [target for target in ready if target.domain == location.domain]
     remote = [target for target in ready if target.domain != location.domain]
+    if remote and context.is_domain_cold:
+        local = []
     local = _without_ejected(local, views, context.now)
     mean_s = _mean_busy(ready, views, context.now)
     prompt = [
@@ -161,6 +169,8 @@
         cost += wait_s + FULL_COST_SHARE * load.busy_s
     cost *= view.failure_factor()
     cost *= view.confidence(context.now)
+    if load.cold_s:
+        cost += COLD_COST_TURNS / load.rate
     if target.domain == location.domain:
         return cost
     bytes_s = REMOTE_COST_S_PER_BYTE * context.answer_bytes
@@ -198,7 +208,9 @@
         expected_s *= context.usual_s / mean_s
     expected_s *= view.failure_factor()
     return (
-        not load.is_full and expected_s <= LOCAL_LATENCY_SHARE * context.left_s
+        not load.is_full
+        and not load.cold_s
+        and expected_s <= LOCAL_LATENCY_SHARE * context.left_s
     )
 
 
--- a/medlarhoist/node/metrics.py
+++ b/medlarhoist/node/metrics.py
@@ -97,6 +97,20 @@
     doc='Calls refused as the domain of the target, or of all, is drained.',
     family=Family.COUNTER,
 )
+TARGET_COLD: Final = Metric(
+    name='target_cold_seconds',
+    doc='How much longer the target of this VM is limited as a cold one.',
+)
+COLD_STARTS: Final = Metric(
+    name='target_cold_starts_total',
+    doc='How often the target of this VM has turned cold.',
+    family=Family.COUNTER,
+)
+COLD_REFUSALS: Final = Metric(
+    name='cold_refusals_total',
+    doc='Calls that this node refused as its target is cold.',
+    family=Family.COUNTER,
+)
 SUSPECT_REQUESTS: Final = Metric(
     name='suspect_requests',
     doc='Requests known to have crashed targets: suspected, or quarantined.',
@@ -150,6 +164,9 @@
     TARGET_RATE_LIMIT,
     DRAINED_DOMAINS,
     DRAIN_REFUSALS,
+    TARGET_COLD,
+    COLD_STARTS,
+    COLD_REFUSALS,
     SUSPECT_REQUESTS,
     QUARANTINE_REFUSALS,
     ENDED_WITH_TARGET,
@@ -221,6 +238,9 @@
         (TARGET_RATE_LIMIT, proxy.rate_limit),
         (DRAINED_DOMAINS, len(proxy.drained_domains)),
         (DRAIN_REFUSALS, proxy.refused_by_drain),
+        (TARGET_COLD, proxy.target_cold_s),
+        (COLD_STARTS, proxy.cold_starts),
+        (COLD_REFUSALS, proxy.cold_refusals),
         (QUARANTINE_REFUSALS, proxy.quarantine_refusals),
         (ENDED_WITH_TARGET, proxy.target_deaths),
     ):
--- a/medlarhoist/node/proxy/entry.py
+++ b/medlarhoist/node/proxy/entry.py
@@ -1,17 +1,11 @@
-"""Entry: handles the calls of callers, from the request to the response.
+"""Entry: routes the calls of callers.
 
-A call is routed once, by one configuration. Another attempt is made only if
-the request did not run for certain or is idempotent (core.verdict), within
-the retry budget and the deadline.
+A call is routed once, by one configuration.
 """
 
-import asyncio
-import time
 from random import Random
 from typing import Final
 
-from medlarhoist.core.balance import SelectionContext
-from medlarhoist.core.budget import RetryBudgets
 from medlarhoist.core.compile import Compiled
 from medlarhoist.core.header_names import (
     find_parent_id,
@@ -19,46 +13,22 @@
 )
 from medlarhoist.core.headers import find_header
 from medlarhoist.core.resource import Route
-from medlarhoist.core.retry import is_retryable
-from medlarhoist.core.route_average import RouteAverages
 from medlarhoist.core.split import Splitter
-from medlarhoist.core.target import Target
-from medlarhoist.core.verdict import Verdict, may_retry
-from medlarhoist.node.proxy.attempt import Failure, failure_for_caller
-from medlarhoist.node.proxy.call import Call, find_body_failure
-from medlarhoist.node.proxy.call_log import (
-    log_end,
-    log_failed_attempt,
-    log_unrouted,
-)
+from medlarhoist.core.verdict import Verdict
+from medlarhoist.node.proxy.attempt import Failure
+from medlarhoist.node.proxy.call import Call
+from medlarhoist.node.proxy.call_attempts import CallAttempts
+from medlarhoist.node.proxy.call_log import log_unrouted
 from medlarhoist.node.proxy.exchange import Exchange
-from medlarhoist.node.proxy.forwarded import ForwardedCall
-from medlarhoist.node.proxy.local import DOMAIN_IS_DRAINED
 from medlarhoist.node.proxy.parts import ProxyParts
 from medlarhoist.node.proxy.reader import Head
-from medlarhoist.node.proxy.relay import refuse, relay
-from medlarhoist.node.proxy.remote import read_reported_condition
-from medlarhoist.node.proxy.response import Response
+from medlarhoist.node.proxy.relay import refuse
 
-# Targets that one call is sent to, including those that refuse it.
-MAX_TARGETS_TRIED: Final = 4
-_MS_PER_SECOND: Final = 1000
 _NO_CONFIGURATION: Final = Failure(
     Verdict.DID_NOT_RUN,
     'no configuration yet',
 )
 _NO_ROUTE: Final = Failure(Verdict.DID_NOT_RUN, 'no route', 404)
-_NO_TARGET: Final = Failure(Verdict.DID_NOT_RUN, 'no live target')
-_ONLY_DRAINED: Final = Failure(
-    Verdict.DID_NOT_RUN,
-    'all live targets are in drained domains',
-)
-_TARGET_FAILED: Final = Failure(
-    Verdict.MAY_HAVE_RUN,
-    'target failed',
-    502,
-)
-_TOO_LATE: Final = Failure(Verdict.DID_NOT_RUN, 'deadline was over')
 _STOPPING: Final = Failure(Verdict.DID_NOT_RUN, 'node is stopping')
 
 
@@ -66,24 +36,11 @@
     """Handles the requests of the entry listener.
 
     Args:
-        is_closing: whether calls get no further attempt.
+        attempts: sends routed calls to targets.
         is_draining: whether new calls are refused.
-        refused_by_drain: calls refused as all targets are in drained domains.
-        retries: number of attempts after the first attempt of a call.
     """
 
-    __slots__ = (
-        '_budgets',
-        '_attempt_count',
-        '_parts',
-        '_id_prefix',
-        '_splitter',
-        '_route_averages',
-        'is_closing',
-        'is_draining',
-        'refused_by_drain',
-        'retries',
-    )
+    __slots__ = ('_parts', '_splitter', 'attempts', 'is_draining')
 
     def __init__(self, parts: ProxyParts) -> None:
         """Start without calls.
@@ -92,16 +49,9 @@
             parts: the parts of the proxy that calls pass through.
         """
         self._parts = parts
-        self._route_averages = RouteAverages()
-        self._budgets = RetryBudgets()
-        self._attempt_count = 0
         self._splitter = Splitter(Random())  # noqa: S311  spreads load only
-        started_ms = int(time.time() * _MS_PER_SECOND)
-        self._id_prefix = f'{parts.name}-{started_ms:x}'
-        self.is_closing = False
+        self.attempts = CallAttempts(parts)
         self.is_draining = False
-        self.refused_by_drain = 0
-        self.retries = 0
 
     async def serve(self, exchange: Exchange) -> None:
         """Route one call, forward it to targets and send the response.
@@ -139,7 +89,7 @@
         share = compiled.shares.get(service.name)
         if share is not None:
             call.fallback_label = share.old
-        await self._serve_call(exchange, call)
+        await self.attempts.serve(exchange, call)
 
     def _refuse_unrouted(self, exchange: Exchange, failure: Failure) -> None:
         active = self._parts.configuration.active
@@ -164,243 +114,6 @@
         route = _find_route(compiled, exchange.head)
         return route is None or route.idempotent
 
-    async def _serve_call(self, exchange: Exchange, call: Call) -> None:
-        now = time.monotonic()
-        if call.deadline <= now:
-            log_end(call, _TOO_LATE.status, _TOO_LATE.reason, now)
-            refuse(exchange, _TOO_LATE)
-            return
-        self._budgets.add_call(call.service)
-        try:
-            async with asyncio.timeout_at(call.deadline):
-                failure = await self._try_targets(exchange, call)
-        except TimeoutError:
-            if exchange.is_write_blocked:
-                log_end(call, 0, 'caller reads too slowly', time.monotonic())
-                exchange.abort()
-                return
-            self._parts.observer.record_timeout(call)
-            failure = Failure(call.verdict, 'deadline is over', 504)
-        except asyncio.CancelledError:
-            log_end(call, 0, 'caller is gone', time.monotonic())
-            if not exchange.started:
-                self._parts.observer.record_disconnect(call)
-            raise
-        if failure is None:
-            return
-        failure = failure_for_caller(failure, call.verdict)
-        self._parts.observer.record_failed_call(call, failure)
-        reported = find_body_failure(call) or failure
-        log_end(call, reported.status, reported.reason, time.monotonic())
-        refuse(exchange, reported)
-
-    async def _try_targets(
-        self,
-        exchange: Exchange,
-        call: Call,
-    ) -> Failure | None:
-        """Make attempts until a response is passed on.
-
-        Returns:
-            None after a response, otherwise the failure of the last attempt.
-        """
-        failure = _NO_TARGET
-        for attempt in range(MAX_TARGETS_TRIED):
-            if attempt and not self._may_try_another(call, failure):
-                return failure
-            refusal = await self._parts.suspicions.check(call)
-            if refusal is not None:
-                return refusal
-            target = self._find_target(call, failure)
-            if target is None:
-                return self._explain_no_target(call, failure)
-            outcome = await self._attempt(exchange, call, target)
-            if outcome is None:
-                return None
-            failure = outcome
-            call.count_arrival(failure)
-        return failure
-
-    def _explain_no_target(self, call: Call, failure: Failure) -> Failure:
-        """Return the failure of a call that no target is left for."""
-        selector = self._parts.selector
-        if failure is not _NO_TARGET:
-            return failure
-        if not selector.has_drained_target(call.service, call.label):
-            return failure
-        self.refused_by_drain += 1
-        return _ONLY_DRAINED
-
-    def _find_target(self, call: Call, failure: Failure) -> Target | None:
-        target = self._pick_target(call)
-        if target is None and self._switch_to_fallback(call, failure):
-            target = self._pick_target(call)
-        return target
-
-    def _pick_target(self, call: Call) -> Target | None:
-        if call.suspicion is not None:
-            return self._parts.selector.pick_suspect_target(
-                call.service,
-                call.label,
-                call.tried,
-                call.suspicion.fingerprint,
-            )
-        now = time.monotonic()
-        local_view = self._parts.selector.views.get(self._parts.peer_address)
-        if local_view is not None:
-            local_view.record_load(self._parts.local.load, now)
-        average = self._route_averages.get(call.route.name)
-        return self._parts.selector.pick_target(
-            call.service,
-            call.label,
-            call.tried,
-            SelectionContext(
-                now, call.due - now, average.answer_bytes, average.seconds
-            ),
-        )
-
-    def _switch_to_fallback(self, call: Call, failure: Failure) -> bool:
-        """Switch a call to its fallback version, unless it may have run.
-
-        Returns:
-            Whether the call now goes to another version than before.
-        """
-        if call.may_have_run or call.label == call.fallback_label:
-            return False
-        self._parts.observer.record_failed_call(call, failure)
-        call.label = call.fallback_label
-        return True
-
-    def _may_try_another(self, call: Call, failure: Failure) -> bool:
-        """Return whether to try another target after a failed attempt.
-
-        A refusal by a node costs no token, as it puts no load on a target. A
-        failure that a target returned has consumed its token already.
-        """
-        if self.is_closing or failure.is_final:
-            return False
-        is_safe = may_retry(
-            failure.verdict,
-            idempotent=call.route.idempotent,
-        )
-        if not is_safe or not call.body.is_replayable or call.body.fault:
-            return False
-        if failure is _TARGET_FAILED:
-            self.retries += 1
-            return True
-        if call.arrivals >= call.route.attempts:
-            return False
-        loads_target = call.may_have_run or failure.has_arrived
-        if loads_target and not self._budgets.try_consume(call.service):
-            return False
-        self.retries += 1
-        return True
-
-    async def _attempt(
-        self,
-        exchange: Exchange,
-        call: Call,
-        target: Target,
-    ) -> Failure | None:
-        """Make one attempt; return its failure, or None after a response."""
-        call.tried.add(target.address)
-        call.target = target
-        view = self._parts.selector.views[target.address]
-        call.attempt_started = time.monotonic()
-        view.record_send(call.attempt_started)
-        try:
-            outcome = await self._send(call, target)
-            if isinstance(outcome, Failure):
-                if outcome.reason == DOMAIN_IS_DRAINED:
-                    self._parts.selector.record_drain_refusal(target)
-                self._parts.observer.record_failed_attempt(call, outcome)
-                self._parts.suspicions.record(outcome)
-                log_failed_attempt(call, outcome, time.monotonic())
-                return outcome
-            if self._should_retry(call, outcome):
-                self._discard_response(call, outcome)
-                return _TARGET_FAILED
-            await self._relay_response(exchange, call, outcome)
-        finally:
-            view.outstanding -= 1
-        return None
-
-    def _should_retry(self, call: Call, response: Response) -> bool:
-        """Return whether to retry a failure that a target returned.
-
-        A retry that would wait for a slot, or finish late, takes capacity
-        from calls that have not run yet. The response is passed on instead.
-        """
-        now = time.monotonic()
-        mean_s = self._route_averages.get(call.route.name).seconds
-        result = call.build_attempt_result(response.head.status)
-        if not is_retryable(result, call.due - now, mean_s):
-            return False
-        target = self._pick_target(call)
-        if target is None:
-            return False
-        view = self._parts.selector.views[target.address]
-        if view.present_load(target.slots, now).is_full:
-            return False
-        return self._budgets.try_consume(call.service)
-
-    def _discard_response(self, call: Call, response: Response) -> None:
-        """Record a failed response that is retried instead of passed on."""
-        self._parts.observer.record_response(call, response, is_complete=True)
-        call.may_have_run = True
-        response.close()
-        log_failed_attempt(call, _TARGET_FAILED, time.monotonic())
-
-    async def _send(self, call: Call, target: Target) -> Response | Failure:
-        self._attempt_count += 1
-        view = self._parts.selector.views[target.address]
-        forwarded = ForwardedCall(
-            request_id=f'{self._id_prefix}-{self._attempt_count}'.encode(),
-            service=call.service,
-            label=call.label,
-            need=call.build_requirements(target.domain != self._parts.domain),
-            condition=view.condition,
-            suspicion=call.suspicion,
-        )
-        if target.address == self._parts.peer_address:
-            outcome = await self._parts.local.send(call.request, forwarded)
-            condition = self._parts.local.stated.condition
-            view.record_condition(condition, target.since_ms)
-            return outcome
-        outcome = await self._parts.remote.send(
-            target.address,
-            call.request,
-            forwarded,
-        )
-        condition = read_reported_condition(outcome) or view.condition
-        view.record_condition(condition, target.since_ms)
-        return outcome
-
-    async def _relay_response(
-        self,
-        exchange: Exchange,
-        call: Call,
-        response: Response,
-    ) -> None:
-        try:  # noqa: WPS501
-            is_whole = await relay(exchange, response)
-        finally:
-            response.close()
-        self._parts.observer.record_response(
-            call, response, is_complete=is_whole
-        )
-        if is_whole:
-            status = response.head.status
-            self._parts.suspicions.record_response(call, status)
-            took_s = call.processing_s(
-                call.attempt_started,
-                response.body.ended_at,
-            )
-            size = response.head.framing.length
-            self._route_averages.record(call.route.name, took_s, size)
-        outcome = 'answered' if is_whole else 'cut'
-        log_end(call, response.head.status, outcome, time.monotonic())
-
 
 def _find_route(compiled: Compiled, head: Head) -> Route | None:
     host = find_header(head.headers, b'host') or b''
--- a/medlarhoist/node/proxy/local.py
+++ b/medlarhoist/node/proxy/local.py
@@ -18,14 +18,13 @@
     RunCondition,
     read_condition,
 )
-from medlarhoist.core.deadline import left_for_next_hop_ms
 from medlarhoist.core.header_names import (
     HeaderNames,
     is_mismatched_response,
     is_refusal,
     read_request_id,
 )
-from medlarhoist.core.headers import REQUEST_HEADER, Header, find_header
+from medlarhoist.core.headers import REQUEST_HEADER, find_header
 from medlarhoist.core.presence import is_same_run
 from medlarhoist.core.quarantine import shows_completion
 from medlarhoist.core.resource import Service
@@ -33,11 +32,13 @@
 from medlarhoist.core.verdict import SERVER_FAULT_STATUS, Verdict
 from medlarhoist.node.proxy.attempt import Failure, Request
 from medlarhoist.node.proxy.call_log import log_limit, log_refusal
+from medlarhoist.node.proxy.cold_target import ColdTarget
 from medlarhoist.node.proxy.forwarded import ForwardedCall
 from medlarhoist.node.proxy.pool import ConnectionPool, send_request
 from medlarhoist.node.proxy.response import Response
 from medlarhoist.node.proxy.slots import Slots
 from medlarhoist.node.proxy.suspects import SuspectRun, TargetSuspects
+from medlarhoist.node.proxy.target_headers import add_target_headers
 from medlarhoist.utils.tasks import start_task
 
 DOMAIN_IS_DRAINED: Final = 'failure domain is drained'
@@ -52,6 +53,8 @@
         malformed: responses that were no HTTP, or had bytes after their end.
         refused: calls that this node refused without sending them.
         refused_by_drain: those refused as the failure domain is drained.
+        refused_cold: those of them that a cold target had no turn for.
+        cold: whether the target is cold.
         on_leaving: called with the key of a run that states that it leaves.
         stated: what the present run of the target has stated of itself.
         suspects: the requests that are suspected to crash the target.
@@ -67,11 +70,13 @@
         '_rng',
         '_running',
         '_slots',
+        'cold',
         'malformed',
         'mismatched',
         'on_leaving',
         'refused',
         'refused_by_drain',
+        'refused_cold',
         'stated',
         'suspects',
     )
@@ -102,10 +107,12 @@
         self._slots = Slots(self._count_slots)
         # Why all calls are refused, empty while they are not.
         self._no_calls_reason = ''
+        self.cold = ColdTarget(find_service, self._slots.set_cold)
         self.on_leaving: Callable[[str], None] = _ignore
         self.stated = RunCondition(self._apply_condition)
         self.refused = 0
         self.refused_by_drain = 0
+        self.refused_cold = 0
         self.mismatched = 0
         self.malformed = 0
 
@@ -144,7 +151,9 @@
             return
         self.suspects.address = notice.address
         self.stated.start_run(notice.run_key)
-        if before is None or not is_same_run(before, notice):
+        is_new_run = before is None or not is_same_run(before, notice)
+        self.cold.set_notice(notice, is_new_run=is_new_run)
+        if is_new_run:
             self.suspects.start_run()
             self._echoes_ids = False
             self._pool.close_idle()
@@ -218,7 +227,7 @@
         started = time.monotonic()
         run_key = self.stated.run_key
         run_id = self._notice.run_id if self._notice else ''
-        sent = _add_headers(request, call, self._header_names, run_id)
+        sent = add_target_headers(request, call, self._header_names, run_id)
         self._running.add(request.caller_id)
         try:
             outcome = await send_request(self._pool, sent)
@@ -230,6 +239,8 @@
             # Nested calls are made before the response, not after it.
             self._running.discard(request.caller_id)
         if isinstance(outcome, Failure):
+            if outcome.is_unreachable and not self._pool.is_full:
+                self.cold.presume()
             _release_after(self._slots, outcome)
             return await self.suspects.handle_failure(outcome, run)
         response = outcome
@@ -263,6 +274,7 @@
     def close(self) -> None:
         """Refuse waiting calls and abort all connections to the target."""
         self._slots.refuse_waiters()
+        self.cold.stop()
         self._pool.close()
 
     def _count_malformed(self) -> None:
@@ -330,9 +342,9 @@
         if reason:
             return reason
         if not await self._slots.acquire(call.need):
-            is_limited = self._slots.load.delay_s > 0
-            reason = 'over the limit of the target' if is_limited else 'no slot'
-            return self._no_calls_reason or reason
+            load = self._slots.load
+            self.refused_cold += load.cold_s > 0
+            return self._no_calls_reason or _explain_full(load)
         # During the wait the target may have been replaced by another one.
         reason = self._find_refusal_reason(call)
         if reason:
@@ -355,30 +367,17 @@
         return 'target is leaving' if self.stated.condition.is_leaving else ''
 
     def _apply_condition(self, condition: Condition) -> None:
-        if bool(condition.rate) != bool(self.load.rate):
+        if self._slots.set_rate(condition.rate):
             log_limit(condition)
-        self._slots.set_rate(condition.rate)
         if condition.is_leaving:
             self._slots.refuse_waiters()
             self.on_leaving(condition.run_key)
 
 
-def _add_headers(
-    request: Request,
-    call: ForwardedCall,
-    names: HeaderNames,
-    run_id: str,
-) -> Request:
-    """Return the request with attempt id, deadline and run id added."""
-    left_ms = left_for_next_hop_ms(call.deadline, time.monotonic())
-    headers: list[Header] = [
-        header for header in request.headers if header[0] != names.deadline
-    ]
-    headers.append((REQUEST_HEADER, call.request_id))
-    headers.append((names.deadline, b'%d' % left_ms))
-    if names.expected_target and run_id:
-        headers.append((names.expected_target, run_id.encode()))
-    return structs.replace(request, headers=headers)
+def _explain_full(load: Load) -> str:
+    if load.cold_s:
+        return 'target is cold'
+    return 'over the limit of the target' if load.delay_s else 'no slot'
 
 
 def _release_after(slots: Slots, failure: Failure) -> None:
--- a/medlarhoist/node/proxy/proxy.py
+++ b/medlarhoist/node/proxy/proxy.py
@@ -62,6 +62,10 @@
         waiting: calls that wait for a slot.
         rate_limit: requests per second that the target accepts, zero for no
             limit.
+        target_cold_s: for how much longer the target is limited as a cold
+            one, seconds; zero if it is not.
+        cold_starts: how often the target has turned cold.
+        cold_refusals: calls that this node refused as its target is cold.
         is_target_leaving: whether the target has stated that it leaves.
         refused: calls that this node refused for its target.
         refused_by_drain: calls that this node refused as a domain is drained,
@@ -90,6 +94,9 @@
     slots_peak: int
     waiting: int
     rate_limit: float
+    target_cold_s: float
+    cold_starts: int
+    cold_refusals: int
     is_target_leaving: bool
     refused: int
     refused_by_drain: int
@@ -237,7 +244,7 @@
         await asyncio.gather(self._entry.close(), self._peer.close())
         await asyncio.sleep(min(linger_s, LAST_REQUESTS_S))
         await self._finish(now + timeout_s)
-        self._entry_service.is_closing = True
+        self._entry_service.attempts.is_closing = True
         self._parts.remote.close()
         self._parts.local.close()
         await self._finish(time.monotonic() + LAST_RESPONSES_S)
@@ -274,7 +281,7 @@
             + self._peer.malformed_requests,
             read_ahead=self._entry.read_ahead.total,
             read_ahead_peak=self._entry.read_ahead.peak,
-            retries=self._entry_service.retries,
+            retries=self._entry_service.attempts.retries,
             crossed=self._parts.local.mismatched
             + self._parts.remote.mismatched,
             malformed_responses=self._parts.local.malformed
@@ -284,10 +291,13 @@
             slots_peak=self._parts.local.peak,
             waiting=load.waiting,
             rate_limit=load.rate,
+            target_cold_s=load.cold_s,
+            cold_starts=self._parts.local.cold.started,
+            cold_refusals=self._parts.local.refused_cold,
             is_target_leaving=self._parts.local.stated.condition.is_leaving,
             refused=self._parts.local.refused,
             refused_by_drain=self._parts.local.refused_by_drain
-            + self._entry_service.refused_by_drain,
+            + self._entry_service.attempts.refused_by_drain,
             drained_domains=tuple(sorted(self._parts.selector.drains.drained)),
             target_deaths=suspects.deaths,
             quarantine_refusals=suspects.refused
--- /dev/null
+++ b/medlarhoist/node/proxy/target_headers.py
@@ -0,0 +1,29 @@
+"""Target headers: what a node adds to a request for its target."""
+
+import time
+
+from msgspec import structs
+
+from medlarhoist.core.deadline import left_for_next_hop_ms
+from medlarhoist.core.header_names import HeaderNames
+from medlarhoist.core.headers import REQUEST_HEADER, Header
+from medlarhoist.node.proxy.attempt import Request
+from medlarhoist.node.proxy.forwarded import ForwardedCall
+
+
+def add_target_headers(
+    request: Request,
+    call: ForwardedCall,
+    names: HeaderNames,
+    run_id: str,
+) -> Request:
+    """Return the request with attempt id, deadline and run id added."""
+    left_ms = left_for_next_hop_ms(call.deadline, time.monotonic())
+    headers: list[Header] = [
+        header for header in request.headers if header[0] != names.deadline
+    ]
+    headers.append((REQUEST_HEADER, call.request_id))
+    headers.append((names.deadline, b'%d' % left_ms))
+    if names.expected_target and run_id:
+        headers.append((names.expected_target, run_id.encode()))
+    return structs.replace(request, headers=headers)
