Measure targets without the wait of calls for their turn

Cause: the time of a call that was sent ahead counted from its head in all respects, so a wait for earlier requests of its connection would have counted as slowness of its target. Change: the deadline and the objective count from the head, what targets take from when the call is served.

--- a/medlarhoist/node/proxy/call.py
+++ b/medlarhoist/node/proxy/call.py
@@ -1,5 +1,7 @@
 """Call: the state of one caller's call at its entry node."""
 
+import time
+
 from medlarhoist.core.admission import CallRequirements
 from medlarhoist.core.deadline import objective_time, start_deadline
 from medlarhoist.core.header_names import (
@@ -37,7 +39,9 @@
         label: version that it goes to, empty for any version.
         fallback_label: version to use if all targets of label refuse the
             call; equal to label if there is no such version.
-        started: when the head of the request was received.
+        started: when the call was first served. What targets take is
+            measured from then on, without a wait for earlier requests of the
+            connection.
         deadline: when the call is ended with a failure.
         due: time of the latency objective.
         is_nested: whether the call was made by a request that the local
@@ -100,13 +104,14 @@
         self.service = service
         self.label = label
         self.fallback_label = label
-        self.started = exchange.received_at
+        self.started = time.monotonic()
+        received_at = exchange.received_at
         self.deadline = start_deadline(
-            self.started,
+            received_at,
             find_header(head.headers, header_names.deadline),
             route.timeout_ms,
         )
-        self.due = objective_time(self.started, self.deadline, route)
+        self.due = objective_time(received_at, self.deadline, route)
         self.is_nested = False
         self.body = ReplayableBody(exchange.body)
         self.tried: set[str] = set()
