Presume that a silent target is cold once it is there again

Cause: calls on kept connections to a target that fell silent hang, so no call may try a new connection, and a restart before its first notice went unnoticed.

Change: after 1.5 heartbeats without a notice the target is presumed to be cold until the next one, where its service has a cold rate.

--- a/medlarhoist/node/proxy/cold_target.py
+++ b/medlarhoist/node/proxy/cold_target.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from math import inf
 
 from loguru import logger
 
@@ -30,16 +31,20 @@
         find_service: returns a service of the configuration in force by its
             name, None if there is none.
         is_drained: whether the failure domain of this node is drained.
+        silence_s: seconds without a notice after which the target is presumed
+            to have ended and to be cold once it is there again.
     """
 
     __slots__ = (
         '_apply',
         '_coldness',
         '_notice',
+        '_silence',
         '_timer',
         'find_service',
         'is_drained',
         'rate',
+        'silence_s',
         'started',
     )
 
@@ -58,10 +63,12 @@
         self._apply = apply
         self._coldness = Coldness()
         self._notice: TargetNotice | None = None
+        self._silence: asyncio.TimerHandle | None = None
         self._timer: asyncio.TimerHandle | None = None
         self.find_service = find_service
         self.is_drained: Callable[[], bool] = _is_never_drained
         self.rate = float()
+        self.silence_s = inf
         self.started = 0
 
     def set_notice(self, notice: TargetNotice, *, is_new_run: bool) -> None:
@@ -79,24 +86,30 @@
         if self.is_drained():
             self._coldness = presume_cold(self._coldness, now)
         self._update()
+        self._await_next()
 
     def presume(self) -> None:
         """Presume that the target is cold until its next notice.
 
-        It accepts no connections, so the next process that does may be
-        another one, which has just started.
+        It accepts no connections or is silent, so the next process that is
+        there may be another one, which has just started.
         """
         self._coldness = presume_cold(self._coldness, time.monotonic())
         self._update()
 
     def stop(self) -> None:
-        """Stop to wait for the end of the coldness."""
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        """Stop to wait for the end of the coldness, and for notices."""
+        _cancel(self._timer)
+        _cancel(self._silence)
+
+    def _await_next(self) -> None:
+        _cancel(self._silence)
+        if self.silence_s < inf:
+            loop = asyncio.get_running_loop()
+            self._silence = loop.call_later(self.silence_s, self.presume)
 
     def _update(self) -> None:
-        self.stop()
+        _cancel(self._timer)
         if self._notice is None:
             return
         now = time.monotonic()
@@ -123,5 +136,10 @@
     ).info('target: is cold' if rate else 'target: is warm')
 
 
+def _cancel(timer: asyncio.TimerHandle | None) -> None:
+    if timer is not None:
+        timer.cancel()
+
+
 def _is_never_drained() -> bool:
     return False
--- a/medlarhoist/node/proxy/factory.py
+++ b/medlarhoist/node/proxy/factory.py
@@ -2,11 +2,13 @@
 
 import time
 from random import Random
+from typing import Final
 
 from medlarhoist.core.balance import NodeLocation
 from medlarhoist.core.fingerprint import make_fingerprint_key
 from medlarhoist.core.header_names import DEFAULT_HEADER_NAMES, HeaderNames
 from medlarhoist.core.interfaces import CallRecorder, Registry, ShareLimiter
+from medlarhoist.core.presence import SILENT_HEARTBEATS
 from medlarhoist.core.quarantine import Quarantine
 from medlarhoist.core.resource import Service
 from medlarhoist.core.settings import NodeSettings
@@ -20,6 +22,8 @@
 from medlarhoist.node.proxy.suspects import TargetSuspects
 from medlarhoist.node.proxy.target_selector import TargetSelector
 
+_MS_PER_SECOND: Final = 1000
+
 
 def create_proxy(
     cfg: NodeSettings,
@@ -60,6 +64,7 @@
 
     local = LocalTarget(find_service, header_names, suspects)
     local.cold.is_drained = is_drained
+    local.cold.silence_s = cfg.heartbeat_ms * SILENT_HEARTBEATS / _MS_PER_SECOND
     selector = TargetSelector(
         cfg.name,
         NodeLocation(cfg.domain, cfg.peer),
