Exchange the usage and the shares of accounts over the tree

The decisions on the limits of accounts had no way between processes. Nodes add the requests of accounts with a rate to their reports, each parent sums those of its children, and the leader of the sources sends shares down the tree, which each parent divides. Nothing is sent where no account has a rate.

--- a/medlarhoist/core/account_control.py
+++ b/medlarhoist/core/account_control.py
@@ -13,7 +13,8 @@
 from collections.abc import Mapping
 from typing import Final
 
-from medlarhoist.core.account_usage import SETTLE_S, SubtreeUsage
+from medlarhoist.core.account_subtree import SubtreeUsage
+from medlarhoist.core.account_usage import SETTLE_S
 from medlarhoist.core.resource import Account
 
 # The time that a report takes up the tree and a share down, with a margin.
--- a/medlarhoist/core/account_control_test.py
+++ b/medlarhoist/core/account_control_test.py
@@ -12,11 +12,10 @@
 from pytest import mark
 
 from medlarhoist.core.account_control import AccountControl
-from medlarhoist.core.account_gate import AccountGate
+from medlarhoist.core.account_limiter import AccountLimiter
+from medlarhoist.core.account_subtree import ROWS_PER_REPORT, SubtreeUsage
 from medlarhoist.core.account_usage import (
-    ROWS_PER_REPORT,
     SharesUpdate,
-    SubtreeUsage,
     UsageRow,
 )
 from medlarhoist.core.resource import Account
@@ -45,7 +44,7 @@
         self.name = name
         self.usage = SubtreeUsage(now)
         self.usage.attach(name, now)
-        self.gate = AccountGate(Random(name), now)
+        self.limiter = AccountLimiter(Random(name), now)
         self.shares = {}
         self.own = {}
         self.age_s = 0
@@ -56,14 +55,14 @@
         self.spread(now)
 
     def report(self, now) -> tuple[UsageRow, ...]:
-        self.usage.record(self.name, self.gate.collect(now), now)
+        self.usage.record(self.name, self.limiter.collect(now), now)
         return self.usage.collect(now)
 
     def spread(self, now):
         updates = self.usage.divide(self.shares, now)
         if self.name in updates:
             self.own = updates[self.name].apply(self.own)
-            self.gate.assign(self.own)
+            self.limiter.assign(self.own)
         for child in self.children:
             if child.name in updates:
                 child.adopt(updates[child.name], now)
@@ -117,7 +116,7 @@
 
     def _request(self, node, account):
         found = self.accounts[account]
-        delay_s = node.gate.admit(found, self.now, node.age_s)
+        delay_s = node.limiter.admit(found, self.now, node.age_s)
         log = self.refused if delay_s else self.admitted
         log.append((self.now, account))
 
@@ -227,7 +226,7 @@
     assert fleet.count(fleet.admitted, since=10, until=20) >= 5 * rate
     # Soon after, nodes decide on their own again.
     assert not fleet.control.shares
-    assert not any(node.gate.view() for node in fleet.nodes)
+    assert not any(node.limiter.view() for node in fleet.nodes)
 
 
 @limits
@@ -334,7 +333,7 @@
 
 
 def test_accounts_without_a_rate_cost_nothing():
-    gate = AccountGate(Random(1), 0)
+    limiter = AccountLimiter(Random(1), 0)
     account = Account(name='shop')
-    assert not any(gate.admit(account, 0, 100) for _ in range(1000))
-    assert not gate.collect(1)
+    assert not any(limiter.admit(account, 0, 100) for _ in range(1000))
+    assert not limiter.collect(1)
--- a/medlarhoist/core/account_gate.py
+++ b/medlarhoist/core/account_limiter.py
@@ -1,4 +1,4 @@
-"""Account gate: admits the requests of limited accounts at one node.
+"""Account limiter: admits the requests of limited accounts at one node.
 
 A node decides on its own, without asking anyone while a request waits:
 
@@ -89,7 +89,7 @@
         self.updated_at = now
 
 
-class AccountGate:
+class AccountLimiter:
     """Admits requests of the accounts that have a rate.
 
     Args:
--- a/medlarhoist/core/membership.py
+++ b/medlarhoist/core/membership.py
@@ -41,6 +41,9 @@
     LEFT = 3
 
 
+_MISSING: Final = frozenset((MemberStatus.SUSPECT, MemberStatus.DEAD))
+
+
 class Member(Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Record of one node, which the members exchange.
 
@@ -238,6 +241,12 @@
     )
 
 
+def is_missing(state: MembershipState, name: str) -> bool:
+    """Return whether a member is suspected or dead."""
+    member = state.members.get(name)
+    return member is not None and member.status in _MISSING
+
+
 def live_targets(state: MembershipState) -> tuple[Target, ...]:
     """Return the targets of the live members and of this node, by node."""
     members = (state.local_member, *live_members(state))
--- a/medlarhoist/node/distribution.py
+++ b/medlarhoist/node/distribution.py
@@ -10,7 +10,11 @@
 from random import Random
 
 from medlarhoist.core.interfaces import EvidenceSource
-from medlarhoist.core.membership import MembershipState, live_members
+from medlarhoist.core.membership import (
+    MembershipState,
+    is_missing,
+    live_members,
+)
 from medlarhoist.core.settings import NodeSettings
 from medlarhoist.core.shared_records import SharedRecords
 from medlarhoist.node.catch_up import CatchUp
@@ -38,6 +42,7 @@
     """The parts of one node that provide its configuration.
 
     Args:
+        account_limits: holds the node to the limits of accounts.
         channels: its connections to other processes.
         directory: the keeper sets and addresses of sources it has received.
     """
@@ -60,6 +65,7 @@
         '_tasks',
         '_uplink',
         '_withdrawal_exchange',
+        'account_limits',
         'channels',
         'directory',
     )
@@ -82,6 +88,7 @@
         receiver = Receiver(
             cfg, configuration, directory, keeper, downlink, evidence
         )
+        self.account_limits = downlink.account_limits
         self._cfg = cfg
         self.channels = channels
         self._configuration = configuration
@@ -182,6 +189,7 @@
             traffic=self.channels.traffic.view(),
             lag=self._lag_monitor.view(),
             fetched=self._catch_up.count,
+            account_limits=self.account_limits.view(),
             waiting_for=self._waiting_for(),
         )
 
@@ -192,6 +200,10 @@
         self._downlink.seconds_since_leader = (
             self._receiver.seconds_since_leader
         )
+        self.account_limits.contact_age_s = self._receiver.seconds_since_leader
+        self.account_limits.is_missing = lambda name: is_missing(
+            self._membership, name
+        )
         self._exchange.on_summary(self._downlink.broadcast)
         self._receiver.on_summary(
             self._registry.update_summary, self._registry.confirm_summaries
--- a/medlarhoist/node/downlink.py
+++ b/medlarhoist/node/downlink.py
@@ -7,6 +7,7 @@
 
 import time
 from collections.abc import Callable
+from functools import partial
 from random import Random
 from typing import Any, Final
 
@@ -16,6 +17,7 @@
 from medlarhoist.core.floor import epoch_of
 from medlarhoist.core.settings import NodeSettings
 from medlarhoist.core.tree import choose_redirect, may_admit, rank_of
+from medlarhoist.node.account_limits import AccountLimits
 from medlarhoist.node.configuration import Configuration
 from medlarhoist.node.join import Directory
 from medlarhoist.node.keeper import Keeper
@@ -30,7 +32,7 @@
 )
 from medlarhoist.wire.procedures import ATTACH
 from medlarhoist.wire.rpc import Method, StreamHandler
-from medlarhoist.wire.session import Session, serve_session
+from medlarhoist.wire.session import Session, send_to_child, serve_session
 
 MAX_ROWS: Final = 4096
 MS_PER_SECOND: Final = 1000
@@ -40,6 +42,7 @@
     """The attached children of one node.
 
     Args:
+        account_limits: is told of the children and the usage they report.
         initial_messages: returns further messages to send to a new child.
         rows: evidence that the children have reported, not sent on yet; at
             most the latest `MAX_ROWS`.
@@ -55,6 +58,7 @@
         '_keeper',
         '_on_change',
         '_random',
+        'account_limits',
         'initial_messages',
         'rows',
         'seconds_since_leader',
@@ -78,6 +82,9 @@
         self._random = random
         self.rows: list[EvidenceRow] = []
         self.sessions: dict[str, Session] = {}
+        self.account_limits = AccountLimits(
+            cfg.name, random, partial(send_to_child, self.sessions)
+        )
         self.initial_messages: Callable[[], tuple[DownMessage, ...]] = tuple
         self.seconds_since_leader: Callable[[], float] = float
 
@@ -174,6 +181,7 @@
             previous.closed.set()
         self.sessions[hello.node] = session
         logger.debug('tree: child {} attached', hello.node)
+        self.account_limits.attach(hello.node)
         self._send_initial(session)
         self._on_change()
         return True
@@ -193,6 +201,8 @@
     def _receive(self, session: Session, message: UpMessage) -> None:
         if isinstance(message, Hello):
             self._send_initial(session)
+        usage = message.usage if isinstance(message, Report) else ()
+        self.account_limits.record(session.name, usage)
         if isinstance(message, Report):
             self.rows.extend(message.rows)
             self.rows = self.rows[-MAX_ROWS:]
@@ -201,6 +211,7 @@
     def _end(self, session: Session) -> None:
         if self.sessions.get(session.name) is session:
             self.sessions.pop(session.name)
+            self.account_limits.detach(session.name)
             logger.debug('tree: child {} detached', session.name)
             self._on_change()
 
--- a/medlarhoist/node/heartbeat.py
+++ b/medlarhoist/node/heartbeat.py
@@ -61,6 +61,8 @@
                 ages = Ages(ages_ms=self._registry.ages_ms())
                 self._downlink.broadcast(ages)
             self._adopt_keeper_set()
+            self._downlink.account_limits.divide()
+            self._downlink.account_limits.expire()
             self._downlink.send_established()
             keepers = self._directory.domain_keepers
             if not self._gossip.view().alive > 1 and keepers:
--- a/medlarhoist/node/uplink_receiver.py
+++ b/medlarhoist/node/uplink_receiver.py
@@ -31,6 +31,7 @@
     Hello,
     Keepers,
     Report,
+    Shares,
     Stage,
 )
 
@@ -108,18 +109,17 @@
             return self.establish(message)
         if isinstance(message, Activated):
             self._leader_contact_at = time.monotonic()
-            self._record_acceptance(message)
+            _record_acceptance(self._configuration, message)
             return not self._keeper.activate(message.version, message.epoch)
-        if isinstance(message, Abandoned):
+        if isinstance(message, Shares):
+            self._downlink.account_limits.receive(message)
+        elif isinstance(message, Abandoned):
             self._configuration.abandon(message.version)
             self._downlink.broadcast(message)
         elif isinstance(message, Keepers):
             self._directory.adopt(message.sets)
-        elif isinstance(message, Summary) and self._on_summary(message):
-            self._downlink.broadcast(message)
-        elif isinstance(message, Ages):
-            self._on_ages(message.ages_ms)
-            self._downlink.broadcast(message)
+        else:
+            self._receive_summary(message)
         return False
 
     def seconds_since_leader(self) -> float:
@@ -192,7 +192,7 @@
         ]
 
     def reports(self) -> list[Report]:
-        """Return the evidence of the subtree since the last report.
+        """Return evidence and usage of the subtree since the last report.
 
         It is empty if there is none, or within `REPORT_SECONDS` of the last
         report. What is returned is discarded here.
@@ -205,7 +205,10 @@
             *self._evidence.drain(),
             *self._downlink.pop_rows(),
         )
-        return [Report(rows=merge_rows(rows))] if rows else []
+        usage = self._downlink.account_limits.report()
+        if not rows and not usage:
+            return []
+        return [Report(rows=merge_rows(rows), usage=usage)]
 
     def _local_ack(self, version: int) -> Ack:
         holds = self._configuration.holds(version)
@@ -224,10 +227,13 @@
             ready=self._keeper.ready,
         )
 
-    def _record_acceptance(self, message: Activated | Established) -> None:
-        self._configuration.acceptance.record(
-            message.version, message.since_ms, time.monotonic()
-        )
+    def _receive_summary(self, message: DownMessage) -> None:
+        """Apply a message on the targets of other domains."""
+        if isinstance(message, Summary) and self._on_summary(message):
+            self._downlink.broadcast(message)
+        elif isinstance(message, Ages):
+            self._on_ages(message.ages_ms)
+            self._downlink.broadcast(message)
 
     def _evaluate_parent(self, message: Established) -> None:
         now = time.monotonic()
@@ -265,7 +271,7 @@
         Returns:
             Whether the version must be staged first.
         """
-        self._record_acceptance(message)
+        _record_acceptance(self._configuration, message)
         before = self._configuration.established
         if not self._configuration.establish(message.version):
             return True
@@ -274,6 +280,14 @@
         return False
 
 
+def _record_acceptance(
+    configuration: Configuration, message: Activated | Established
+) -> None:
+    configuration.acceptance.record(
+        message.version, message.since_ms, time.monotonic()
+    )
+
+
 def _ignore_ages(ages_ms: dict[str, int]) -> None:
     """Ignore ages."""
 
--- a/medlarhoist/node/view.py
+++ b/medlarhoist/node/view.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 
 from medlarhoist.core.presence import Presence
+from medlarhoist.node.account_limits import NO_LIMITS, AccountLimitsView
 from medlarhoist.node.configuration import ConfigurationView
 from medlarhoist.node.gossip import GossipView
 from medlarhoist.node.keeper import KeeperView
@@ -25,6 +26,7 @@
         traffic: control bytes sent and received.
         lag: how late versions came into force.
         fetched: versions that came from another member than the parent.
+        account_limits: shares and refusals of accounts with a rate.
         waiting_for: what is missing before a version can be in force, empty
             once one is.
     """
@@ -38,6 +40,7 @@
     traffic: TrafficView
     lag: LagView
     fetched: int = 0
+    account_limits: AccountLimitsView = NO_LIMITS
     waiting_for: str
 
 
--- a/medlarhoist/source/distributor.py
+++ b/medlarhoist/source/distributor.py
@@ -209,6 +209,7 @@
             if now >= heartbeat_at:
                 heartbeat_at = now + HEARTBEAT_INTERVAL_SECONDS
                 self._children.send_heartbeats()
+            self._children.account_limits.step(self._ledger.state.active)
             self._update_in_force()
             await self._decide_staged()
             await self._assign()
--- a/medlarhoist/source/distributor_children.py
+++ b/medlarhoist/source/distributor_children.py
@@ -6,6 +6,7 @@
 
 import time
 from collections.abc import Callable
+from functools import partial
 from itertools import chain
 from typing import Any
 
@@ -16,6 +17,7 @@
 from medlarhoist.core.floor import epoch_of
 from medlarhoist.core.interfaces import Ledger
 from medlarhoist.core.keeper_plan import KeeperView
+from medlarhoist.source.account_limits import AccountLimits
 from medlarhoist.source.distributor_plan import DomainView
 from medlarhoist.source.distributor_views import (
     AttachmentTimes,
@@ -35,12 +37,16 @@
 )
 from medlarhoist.wire.procedures import ATTACH
 from medlarhoist.wire.rpc import Method, StreamHandler
-from medlarhoist.wire.session import Session, serve_session
+from medlarhoist.wire.session import Session, send_to_child, serve_session
 from medlarhoist.wire.snapshot_history import SnapshotHistory
 
 
 class Children:
-    """The sessions of the attached keepers, and what was sent to them."""
+    """The sessions of the attached keepers, and what was sent to them.
+
+    Args:
+        account_limits: divides the rates of accounts among the keepers.
+    """
 
     __slots__ = (
         '_acceptance',
@@ -54,6 +60,7 @@
         '_on_report',
         '_published',
         '_sessions',
+        'account_limits',
     )
 
     def __init__(
@@ -86,6 +93,9 @@
         self._published = (0, 0)
         self._sessions: dict[str, Session] = {}
         self._attachment_times = AttachmentTimes(time.monotonic())
+        self.account_limits = AccountLimits(
+            partial(send_to_child, self._sessions)
+        )
 
     def procedures(self) -> dict[Method, StreamHandler]:
         """Return the procedure by which keepers attach, by method."""
@@ -129,6 +139,7 @@
             session.send(Redirect(address=address, reason='not the leader'))
             session.close()
         self._sessions.clear()
+        self.account_limits.reset()
         self._attachment_times.reset(time.monotonic())
 
     def views(self, version: int, now: float) -> dict[str, DomainView]:
@@ -173,6 +184,7 @@
         if earlier:
             earlier.closed.set()
         self._sessions[session.name] = session
+        self.account_limits.attach(session.name, session.hello.domain)
         logger.info('distributor: keeper {} is attached', session.name)
         self._send_current(session)
         self._on_change()
@@ -209,6 +221,8 @@
         self._assigner.record_node(hello.domain, hello.node, hello.address)
         if isinstance(message, Hello):
             self._send_current(session)
+        usage = message.usage if isinstance(message, Report) else ()
+        self.account_limits.record(session.name, usage)
         if isinstance(message, Report):
             self._on_report(hello.domain, message.rows)
             return
@@ -223,6 +237,7 @@
         self._attachment_times.record_attached(session.hello.domain, now)
         if self._sessions.get(session.name) is session:
             self._sessions.pop(session.name)
+            self.account_limits.detach(session.name)
             self._assigner.remove_node(session.hello.domain, session.name)
             logger.info('distributor: keeper {} is detached', session.name)
             self._on_change()
--- a/medlarhoist/utils/clock.py
+++ b/medlarhoist/utils/clock.py
@@ -14,3 +14,11 @@
 def monotonic_seconds() -> float:
     """Return the monotonic time in seconds from an arbitrary origin."""
     return time.monotonic()
+
+
+def boot_seconds() -> float:
+    """Return the seconds since the machine was started.
+
+    Unlike the monotonic clock, this one goes on while the machine is suspended.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/medlarhoist/wire/message.py
+++ b/medlarhoist/wire/message.py
@@ -9,6 +9,7 @@
 
 from msgspec import Struct
 
+from medlarhoist.core.account_usage import ShareRow, UsageRow
 from medlarhoist.core.command import KeeperSet
 from medlarhoist.core.evidence import EvidenceRow
 from medlarhoist.core.membership import Member
@@ -80,9 +81,29 @@
 
 
 class Report(Struct, frozen=True, kw_only=True, tag='report'):
-    """Reports the evidence of a subtree, summed by key and time window."""
+    """Reports what the nodes of a subtree have counted.
+
+    Args:
+        rows: evidence, summed by key and time window.
+        usage: requests of accounts with a rate, summed by account.
+    """
 
     rows: tuple[EvidenceRow, ...]
+    usage: tuple[UsageRow, ...] = ()
+
+
+class Shares(Struct, frozen=True, kw_only=True, tag='shares'):
+    """Assigns shares of the rates of accounts to a subtree.
+
+    Sent only where the configuration has accounts with a rate.
+
+    Args:
+        rows: the shares that have changed.
+        is_complete: whether shares of accounts that are not listed end.
+    """
+
+    rows: tuple[ShareRow, ...]
+    is_complete: bool = False
 
 
 class Delta(Struct, frozen=True, kw_only=True):
@@ -338,5 +359,6 @@
     | Keepers
     | Summary
     | Ages
+    | Shares
     | Redirect
 )
--- a/medlarhoist/wire/session.py
+++ b/medlarhoist/wire/session.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from contextlib import AsyncExitStack
 from typing import Any, Final
 
@@ -135,6 +135,21 @@
 MessageHandler = Callable[[Session, UpMessage], None]
 
 
+def send_to_child(
+    sessions: Mapping[str, Session], name: str, message: DownMessage
+) -> None:
+    """Queue a message for a child if it is attached.
+
+    Args:
+        sessions: the attached children by name.
+        name: name of the child.
+        message: the message.
+    """
+    session = sessions.get(name)
+    if session is not None:
+        session.send(message)
+
+
 async def serve_session(
     stream: Any,
     on_open: Callable[[Session], bool],
