Find the client account of each call by its key

Cause: a configuration with client accounts was served as one without: the key was passed on to targets, no name was set, and calls with unknown keys ran.

Change: the platform's document is read into accounts, which hold digests of keys, and anonymous routes. The entry node looks the key's digest up and refuses a call without a known key with 401, unless its route is anonymous or the request that makes it runs beside the node. Targets get the name of the account and no credentials; the account goes with the call to the node of the target (x-medlarhoist-account, reserved for nodes), so that nested calls belong to the account of their parent. An account's priority goes before that of the route. Without accounts requests are forwarded as before.

--- a/medlarhoist/core/header_names.py
+++ b/medlarhoist/core/header_names.py
@@ -34,6 +34,11 @@
         rate_limit: set by a target on each response while it accepts a limited
             number of requests per second, a decimal number.
         leaving: set by a target on each response once it leaves.
+        credential: scheme and key of a caller with a client account; never
+            sent to targets where the configuration has accounts.
+        credential_scheme: the scheme, in lower case.
+        account: name of the client account, to targets; set by the node where
+            a request entered the mesh, replacing any value from the caller.
     """
 
     deadline: bytes = b'x-deadline-ms'
@@ -45,6 +50,9 @@
     refusal_statuses: frozenset[int] = frozenset()
     rate_limit: bytes = b'x-request-limit'
     leaving: bytes = b'x-target-leaving'
+    credential: bytes = b'authorization'
+    credential_scheme: bytes = b'token'
+    account: bytes = b'x-account'
 
 
 DEFAULT_HEADER_NAMES: Final = HeaderNames()
--- a/medlarhoist/node/proxy/call.py
+++ b/medlarhoist/node/proxy/call.py
@@ -14,7 +14,7 @@
     forward_headers,
 )
 from medlarhoist.core.quarantine import Suspicion
-from medlarhoist.core.resource import Route
+from medlarhoist.core.resource import Account, Route
 from medlarhoist.core.retry import AttemptResult
 from medlarhoist.core.target import Target
 from medlarhoist.core.verdict import Verdict
@@ -55,9 +55,11 @@
         caller_id: the caller's id of the request, empty if it sent none.
         suspicion: what is known of the request if it is suspected to crash
             targets, None if it is not.
+        account: the client account that the call belongs to, None for none.
     """
 
     __slots__ = (
+        'account',
         'arrivals',
         'attempt_started',
         'body',
@@ -117,6 +119,7 @@
         self.may_have_run = False
         self.target: Target | None = None
         self.suspicion: Suspicion | None = None
+        self.account: Account | None = None
         headers = drop_reserved(header_names, forward_headers(head.headers))
         if head.is_old and find_header(headers, b'host') is None:
             headers.append((b'host', service.encode()))
@@ -130,6 +133,13 @@
             is_idempotent=route.idempotent,
         )
 
+    @property
+    def priority(self) -> int:
+        """Return the rank of the call, zero for the highest."""
+        if self.account is None or self.account.priority is None:
+            return self.route.priority
+        return self.account.priority
+
     def build_requirements(self, is_spilled: bool) -> CallRequirements:
         """Return the requirements by which the target's node admits the call.
 
@@ -137,7 +147,7 @@
             is_spilled: whether the target is in another failure domain.
         """
         return CallRequirements(
-            priority=self.route.priority,
+            priority=self.priority,
             deadline=self.deadline,
             due=self.due,
             is_spilled=is_spilled,
--- a/medlarhoist/node/proxy/entry.py
+++ b/medlarhoist/node/proxy/entry.py
@@ -111,20 +111,26 @@
         if route is None:
             self._refuse_unrouted(exchange, _NO_ROUTE)
             return
+        names = self._parts.header_names
+        caller_id = read_request_id(names, head.headers)
+        account = self._parts.accounts.admit(
+            compiled, route, head.headers, caller_id
+        )
+        if isinstance(account, Failure):
+            self._refuse_unrouted(exchange, account)
+            return
         service = compiled.services[self._splitter.pick(route)]
         label = self._parts.selector.pick_label(compiled, service)
-        call = Call(
-            exchange, route, service.name, label, self._parts.header_names
-        )
+        call = Call(exchange, route, service.name, label, names)
         call.version = compiled.version
-        parent_id = find_parent_id(self._parts.header_names, call.caller_id)
-        call.is_nested = self._parts.local.is_running(parent_id)
-        if self._parts.header_names.origin:
-            origin = (
-                self._parts.header_names.origin,
-                self._parts.service.encode(),
+        call.is_nested = self._parts.local.is_running(
+            find_parent_id(names, caller_id)
+        )
+        self._parts.accounts.assign(compiled, call, account)
+        if names.origin:
+            call.request.headers.append(
+                (names.origin, self._parts.service.encode())
             )
-            call.request.headers.append(origin)
         share = compiled.shares.get(service.name)
         if share is not None:
             call.fallback_label = share.old
@@ -318,6 +324,7 @@
             need=call.build_requirements(target.domain != self._parts.domain),
             condition=view.condition,
             suspicion=call.suspicion,
+            account=call.account.name if call.account else '',
         )
         if target.address == self._parts.peer_address:
             outcome = await self._parts.local.send(call.request, forwarded)
--- a/medlarhoist/node/proxy/factory.py
+++ b/medlarhoist/node/proxy/factory.py
@@ -10,6 +10,7 @@
 from medlarhoist.core.quarantine import Quarantine
 from medlarhoist.core.resource import Service
 from medlarhoist.core.settings import NodeSettings
+from medlarhoist.node.proxy.account_gate import AccountGate
 from medlarhoist.node.proxy.call_suspicion import CallSuspicions
 from medlarhoist.node.proxy.local import LocalTarget
 from medlarhoist.node.proxy.observer import Observer
@@ -74,6 +75,7 @@
         remote=RemoteNodes(cfg.name, cfg.domain, key, time.time),
         observer=Observer(selector, recorder),
         suspicions=CallSuspicions(fingerprint_key, quarantine),
+        accounts=AccountGate(header_names, local.running),
     )
     peer_service = PeerService(local, cfg.domain, key, time.time)
     return Proxy(cfg, parts, peer_service)
--- a/medlarhoist/node/proxy/forwarded.py
+++ b/medlarhoist/node/proxy/forwarded.py
@@ -20,6 +20,8 @@
         condition: what the target has stated of itself to the entry node.
         suspicion: what the entry node knows of the request if it is suspected
             to crash targets, None if it is not.
+        account: name of the client account that the call belongs to, empty
+            for none.
     """
 
     request_id: bytes
@@ -28,6 +30,7 @@
     need: CallRequirements
     condition: Condition = NO_CONDITION
     suspicion: Suspicion | None = None
+    account: str = ''
 
     @property
     def deadline(self) -> float:
--- a/medlarhoist/node/proxy/local.py
+++ b/medlarhoist/node/proxy/local.py
@@ -35,6 +35,7 @@
 from medlarhoist.node.proxy.forwarded import ForwardedCall
 from medlarhoist.node.proxy.pool import ConnectionPool, send_request
 from medlarhoist.node.proxy.response import Response
+from medlarhoist.node.proxy.running import RunningRequests
 from medlarhoist.node.proxy.slots import Slots
 from medlarhoist.node.proxy.suspects import SuspectRun, TargetSuspects
 from medlarhoist.utils.tasks import start_task
@@ -49,6 +50,7 @@
         mismatched: responses that did not belong to their request.
         malformed: responses that were no HTTP, or had bytes after their end.
         refused: calls that this node refused without sending them.
+        running: the requests that the target is processing.
         on_leaving: called with the key of a run that states that it leaves.
         stated: what the present run of the target has stated of itself.
         suspects: the requests that are suspected to crash the target.
@@ -62,12 +64,12 @@
         '_notice',
         '_pool',
         '_rng',
-        '_running',
         '_slots',
         'malformed',
         'mismatched',
         'on_leaving',
         'refused',
+        'running',
         'stated',
         'suspects',
     )
@@ -94,7 +96,7 @@
         self._find_service = find_service
         self._notice: TargetNotice | None = None
         self._pool = ConnectionPool('', self._count_malformed)
-        self._running: set[str] = set()
+        self.running = RunningRequests()
         self._slots = Slots(self._count_slots)
         self._is_draining = False
         self.on_leaving: Callable[[str], None] = _ignore
@@ -119,7 +121,7 @@
         Args:
             caller_id: the caller's id of the request; empty for no request.
         """
-        return bool(caller_id) and caller_id in self._running
+        return caller_id in self.running
 
     def set_notice(self, notice: TargetNotice | None) -> None:
         """Update to the target's own notice of its address and phase.
@@ -211,16 +213,17 @@
         run_key = self.stated.run_key
         run_id = self._notice.run_id if self._notice else ''
         sent = _add_headers(request, call, self._header_names, run_id)
-        self._running.add(request.caller_id)
+        self.running.add(request.caller_id, call.account, call.deadline)
         try:
             outcome = await send_request(self._pool, sent)
         except BaseException:
             self._slots.release_later()
             self.suspects.end(run)
+            self.running.end(request.caller_id, is_lost=True)
             raise
-        finally:
-            # Nested calls are made before the response, not after it.
-            self._running.discard(request.caller_id)
+        # Nested calls are made before the response, not after it.
+        is_lost = isinstance(outcome, Failure)
+        self.running.end(request.caller_id, is_lost=is_lost)
         if isinstance(outcome, Failure):
             _release_after(self._slots, outcome)
             return await self.suspects.handle_failure(outcome, run)
--- a/medlarhoist/node/proxy/parts.py
+++ b/medlarhoist/node/proxy/parts.py
@@ -6,6 +6,7 @@
 
 from medlarhoist.core.compile import Compiled
 from medlarhoist.core.header_names import HeaderNames
+from medlarhoist.node.proxy.account_gate import AccountGate
 from medlarhoist.node.proxy.call_suspicion import CallSuspicions
 from medlarhoist.node.proxy.local import LocalTarget
 from medlarhoist.node.proxy.observer import Observer
@@ -39,6 +40,7 @@
         remote: the targets beside other nodes.
         observer: records how attempts and calls ended.
         suspicions: finds the requests that are suspected to crash targets.
+        accounts: finds the client accounts of calls.
     """
 
     name: str
@@ -52,3 +54,4 @@
     remote: RemoteNodes
     observer: Observer
     suspicions: CallSuspicions
+    accounts: AccountGate
--- a/medlarhoist/node/proxy/peer.py
+++ b/medlarhoist/node/proxy/peer.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from medlarhoist.core.accounts import parse_account
 from medlarhoist.core.condition import (
     NO_CONDITION,
     format_condition,
@@ -12,6 +13,7 @@
 )
 from medlarhoist.core.deadline import parse_left_ms
 from medlarhoist.core.headers import (
+    ACCOUNT_HEADER,
     CONDITION_HEADER,
     DEADLINE_HEADER,
     DOMAIN_HEADER,
@@ -159,6 +161,7 @@
             condition=parse_condition(headers.get(CONDITION_HEADER))
             or NO_CONDITION,
             suspicion=parse_suspicion(headers.get(SUSPICION_HEADER)),
+            account=parse_account(headers.get(ACCOUNT_HEADER)),
         )
 
     def _is_authentic(self, token: bytes) -> bool:
--- a/medlarhoist/node/proxy/remote.py
+++ b/medlarhoist/node/proxy/remote.py
@@ -6,6 +6,7 @@
 
 from msgspec import structs
 
+from medlarhoist.core.accounts import format_account
 from medlarhoist.core.condition import (
     NO_CONDITION,
     Condition,
@@ -174,6 +175,8 @@
         if call.suspicion is not None:
             suspicion = format_suspicion(call.suspicion)
             headers.append((SUSPICION_HEADER, suspicion))
+        if call.account:
+            headers.append(format_account(call.account))
         return headers
 
     def _make_token(self) -> bytes:
--- a/medlarhoist/platform/configuration.py
+++ b/medlarhoist/platform/configuration.py
@@ -9,10 +9,12 @@
 from msgspec import Meta, Struct, field, json
 from result import Err, Ok, Result
 
+from medlarhoist.core.accounts import digest_key
 from medlarhoist.core.api_messages import REVISION_LIMIT, ReplaceRequest
 from medlarhoist.core.check import SLOTS_LIMIT
 from medlarhoist.core.digest import fingerprint_of
 from medlarhoist.core.resource import (
+    Account,
     Limits,
     Resource,
     Route,
@@ -57,6 +59,7 @@
         name='traffic_split', default=()
     )
     attempts: Number = field(name='max_attempts')
+    anonymous: bool = field(name='public', default=False)
 
 
 class _VirtualHost(Struct, kw_only=True):
@@ -71,12 +74,21 @@
     idle_timeout_s: Seconds
 
 
+class _Account(Struct, kw_only=True):
+    name: str
+    keys: tuple[str, ...] = field(name='api_keys', default=())
+    priority: Number | None = None
+    rate: Seconds = field(name='rate_per_s', default=0)
+    burst: Seconds = 0
+
+
 class _Document(Struct, kw_only=True):
     revision: int = field(name='version')
     base: int = field(name='base_version')
     services: tuple[_Service, ...]
     hosts: tuple[_VirtualHost, ...] = field(name='virtual_hosts')
     limits: _Limits | None = None
+    accounts: tuple[_Account, ...] = field(name='tenants', default=())
 
 
 class _Body(Struct, frozen=True):
@@ -147,6 +159,7 @@
         resources.extend(_build_route(host.host, path) for path in host.paths)
     if doc.limits is not None:
         resources.append(_build_limits(doc.limits))
+    resources.extend(_build_account(account) for account in doc.accounts)
     return tuple(resources)
 
 
@@ -165,6 +178,18 @@
         timeout_ms=_to_ms(path.timeout_s),
         objective_ms=_to_ms(path.objective_s),
         priority=path.priority,
+        anonymous=path.anonymous,
+    )
+
+
+def _build_account(account: _Account) -> Account:
+    keys = dict.fromkeys(account.keys)
+    return Account(
+        name=account.name,
+        key_digests=tuple(digest_key(key.encode()) for key in keys),
+        priority=account.priority,
+        rate=account.rate,
+        burst=account.burst,
     )
 
 
--- a/medlarhoist/platform/configuration_test.py
+++ b/medlarhoist/platform/configuration_test.py
@@ -5,6 +5,7 @@
 the platform defines as such.
 """
 
+import hashlib
 import json
 
 import pytest
@@ -268,3 +269,86 @@
     assert status is Status.CONFLICT
     state, _ = _put(state, _encode(document))
     assert _put(state, late)[1] is Status.ACCEPTED
+
+
+_TENANTS = [
+    {
+        'name': 'pulo780',
+        'api_keys': ['th5mgjy5rcpihhacrudd', 'edev3nax7u27gxprymh2'],
+        'priority': 1,
+        'rate_per_s': 181,
+        'burst': 20,
+    },
+    {'name': 'hesi12', 'api_keys': []},
+]
+
+
+def test_accounts_hold_digests_of_keys_and_limits(document):
+    paths = document['virtual_hosts'][0]['paths']
+    paths[0]['public'] = True
+    request = read_configuration(_encode(document, tenants=_TENANTS)).ok_value
+    large, small = request.resources[-2:]
+    assert (large.name, large.priority) == ('pulo780', 1)
+    assert (large.rate, large.burst) == (181, 20)
+    assert large.key_digests == tuple(
+        hashlib.sha256(key.encode()).hexdigest()
+        for key in _TENANTS[0]['api_keys']
+    )
+    assert (small.priority, small.rate, small.key_digests) == (None, 0, ())
+    anonymous = {
+        resource.name: resource.anonymous
+        for resource in request.resources
+        if hasattr(resource, 'anonymous')
+    }
+    assert anonymous == {'r-1': True, 'r-2': False}
+
+
+def test_keys_are_added_and_withdrawn_by_versions(state, document):
+    held = 5
+    for version, keys in ((7, ['a', 'b']), (9, ['b']), (12, ['b', 'c'])):
+        tenants = [{'name': 't', 'api_keys': keys}]
+        body = _encode(
+            document,
+            version=version,
+            base_version=held,
+            tenants=tenants,
+        )
+        state, status = _put(state, body)
+        assert status is Status.ACCEPTED
+        held = version
+        compiled, faults = compile_snapshot(state.active)
+        assert not faults
+        assert set(compiled.accounts) == {
+            hashlib.sha256(key.encode()).hexdigest() for key in keys
+        }
+    body = _encode(document, version=20, base_version=12)
+    state, status = _put(state, body)
+    assert status is Status.ACCEPTED
+    assert not state.active.accounts
+
+
+@pytest.mark.parametrize(
+    'tenants',
+    [
+        [{'name': 'a', 'api_keys': ['k']}, {'name': 'b', 'api_keys': ['k']}],
+        [{'name': 'a', 'api_keys': ['k']}, {'name': 'a', 'api_keys': ['l']}],
+        [{'name': '', 'api_keys': ['k']}],
+        [{'name': 'a', 'api_keys': ['k'], 'rate_per_s': -1}],
+        [{'name': 'a', 'api_keys': 'k'}],
+        [{'api_keys': ['k']}],
+    ],
+)
+def test_invalid_accounts_change_nothing(state, document, tenants):
+    body = _encode(document, version=9, base_version=5, tenants=tenants)
+    after, status = _put(state, body)
+    assert status in {None, Status.REFUSED}
+    assert after.active == state.active
+
+
+def test_an_error_names_no_key(document):
+    tenants = [
+        {'name': 'a', 'api_keys': ['secret-1']},
+        {'name': 'b', 'api_keys': ['secret-1', 7]},
+    ]
+    read = read_configuration(_encode(document, tenants=tenants))
+    assert 'secret' not in read.err_value
--- a/medlarhoist/platform/names.py
+++ b/medlarhoist/platform/names.py
@@ -29,6 +29,9 @@
     refusal_statuses=frozenset((MISDIRECTED_STATUS,)),
     rate_limit=b'server-limit',
     leaving=b'server-leaving',
+    credential=b'authorization',
+    credential_scheme=b'token',
+    account=b'x-tenant',
 )
 
 # No state means warming: a target that is still slow after its start reports
