Refuse requests beyond the limit of their account

The entry node knows the account of a call by its key, but admitted any number. It answers 429 with the time until a request is expected to be admitted, before the body is read, once the account is beyond its limit over all nodes. Nested calls carry no key and are not counted.

--- a/medlarhoist/node/app.py
+++ b/medlarhoist/node/app.py
@@ -84,6 +84,7 @@
             self._recorder,
             shared,
         )
+        self._proxy.use_account_limits(self._distribution.account_limits.admit)
         self.target_registration = TargetRegistration(
             cfg,
             self._registry,
--- a/medlarhoist/node/proxy/account_gate.py
+++ b/medlarhoist/node/proxy/account_gate.py
@@ -1,6 +1,9 @@
-"""Account gate: finds the account of each call, and refuses unknown keys."""
+"""Account gate: finds the account of each call, and refuses some of them.
 
-from collections.abc import Sequence
+Those are calls without a known key, and calls beyond the limit of an account.
+"""
+
+from collections.abc import Callable, Sequence
 from typing import Final
 
 from msgspec import structs
@@ -21,16 +24,19 @@
 from medlarhoist.node.proxy.running import RunningRequests
 
 _UNKNOWN_KEY: Final = Failure(Verdict.DID_NOT_RUN, 'unknown key', 401)
+Admit = Callable[[Account], float]
 
 
 class AccountGate:
     """Finds the accounts of the calls that enter at one node.
 
     Args:
+        admit_request: admits or refuses a request by the limit of its
+            account; returns zero, or the seconds after which to return.
         unknown_keys: calls that were refused without a known key.
     """
 
-    __slots__ = ('_names', '_running', 'unknown_keys')
+    __slots__ = ('_names', '_running', 'admit_request', 'unknown_keys')
 
     def __init__(self, names: HeaderNames, running: RunningRequests) -> None:
         """Start without calls.
@@ -41,6 +47,7 @@
         """
         self._names = names
         self._running = running
+        self.admit_request: Admit = _admit_all
         self.unknown_keys = 0
 
     def admit(
@@ -65,8 +72,10 @@
         if not has_accounts(compiled):
             return None
         account = find_account(compiled, self._names, headers)
-        if account is not None or route.anonymous:
-            return account
+        if account is not None:
+            return self._find_excess(account) or account
+        if route.anonymous:
+            return None
         has_credential = any(
             name == self._names.credential for name, _ in headers
         )
@@ -77,6 +86,17 @@
         self.unknown_keys += 1
         return _UNKNOWN_KEY
 
+    def _find_excess(self, account: Account) -> Failure | None:
+        """Return the failure of a call beyond the limit of its account.
+
+        A nested call has no key, and is not counted.
+        """
+        delay_s = self.admit_request(account)
+        if not delay_s:
+            return None
+        reason = 'limit of the account'
+        return Failure(Verdict.DID_NOT_RUN, reason, 429, return_s=delay_s)
+
     def assign(
         self,
         compiled: Compiled,
@@ -102,3 +122,8 @@
         inherited = self._running.find_account(parent_id)
         if account is None and inherited:
             call.account = find_named_account(compiled, inherited)
+
+
+def _admit_all(account: Account) -> float:
+    """Admit a request, where no limits are kept."""
+    return 0
--- a/medlarhoist/node/proxy/proxy.py
+++ b/medlarhoist/node/proxy/proxy.py
@@ -14,6 +14,7 @@
 from medlarhoist.core.resource import Limits
 from medlarhoist.core.settings import NodeSettings
 from medlarhoist.core.target import TargetNotice
+from medlarhoist.node.proxy.account_gate import Admit
 from medlarhoist.node.proxy.entry import EntryService
 from medlarhoist.node.proxy.listener import Listener
 from medlarhoist.node.proxy.parts import ProxyParts
@@ -153,6 +154,14 @@
         """
         self._parts.local.on_leaving = callback
 
+    def use_account_limits(self, admit: Admit) -> None:
+        """Set the function that admits the requests of accounts.
+
+        Args:
+            admit: returns zero, or the seconds after which to return.
+        """
+        self._parts.accounts.admit_request = admit
+
     async def start(self) -> None:
         """Listen on both addresses.
 
