Charge reports from the time that a child attached, and show the limits

The contact with the leader was timed by a clock that stops while a machine is suspended.

Change: only the first report of a child is not charged. Parents of many nodes report usage each 0.1 s. Metrics and dump show shares and refusals by account; contact is timed by the clock since boot.

--- a/medlarhoist/core/account_control.py
+++ b/medlarhoist/core/account_control.py
@@ -26,7 +26,7 @@
 REPORT_S: Final = 0.25
 REPORT_REQUESTS: Final = 5
 # A longer debt would refuse an account for long after few seconds of excess.
-MAX_DEBT_S: Final = 3.0
+MAX_DEBT_S: Final = 5.0
 
 
 class _Bucket:
@@ -83,7 +83,7 @@
         """
         is_settled = now - self._started_at >= SETTLE_S
         self._refill(accounts, now)
-        self._charge(accounts, usage, now, is_settled=is_settled)
+        self._charge(accounts, usage, now)
         shares = {}
         for name, bucket in tuple(self._buckets.items()):
             account = accounts[name]
@@ -114,19 +114,17 @@
         accounts: Mapping[str, Account],
         usage: SubtreeUsage,
         now: float,
-        *,
-        is_settled: bool,
     ) -> None:
         """Charge the reported requests."""
+        is_settled = now - self._started_at >= SETTLE_S
         for row in usage.collect(now, limit=len(accounts)):
             account = accounts.get(row.account)
             if account is None or not account.rate:
                 continue
-            # A new leader doesn't know what was used before it, and gets the
-            # reports of the time without a leader all at once.
+            # A new leader doesn't know what was used before it.
             start = _depth(account) if is_settled else 0
             bucket = self._buckets.setdefault(row.account, _Bucket(start))
-            debt = account.rate * MAX_DEBT_S if is_settled else 0
+            debt = account.rate * MAX_DEBT_S
             bucket.level = max(bucket.level - row.admitted, -debt)
 
 
--- a/medlarhoist/core/account_subtree.py
+++ b/medlarhoist/core/account_subtree.py
@@ -29,6 +29,8 @@
 # Children send at least a heartbeat within this time. One that doesn't may be
 # disconnected and go on admitting requests.
 UNHEARD_S: Final = 1.0
+# The first report of a child comes within this time.
+NEW_S: Final = 0.3
 # How long the pace of a child that has fallen silent is counted.
 SILENT_S: Final = 5 * PACE_HALF_LIFE_S
 # The share of a child without demand, as if it had this many requests a
@@ -139,6 +141,7 @@
             known = _Child(now)
             self._children[child] = known
         known.heard_at = now
+        is_new = now - known.attached_at < NEW_S
         for row in rows:
             flow = known.flows.get(row.account)
             if flow is None:
@@ -147,8 +150,10 @@
                     known.flows[row.account] = flow
             flow.demand.add(row.offered, now)
             flow.pace.add(row.admitted, now)
-            presumed = min(flow.presumed, row.admitted)
-            self._add(row.account, row.admitted - presumed, row.offered)
+            # Requests before it attached were counted another way.
+            presumed = row.admitted if is_new else flow.presumed
+            admitted = max(0, row.admitted - presumed)
+            self._add(row.account, admitted, row.offered)
         for flow in known.flows.values():
             flow.presumed = 0
 
--- a/medlarhoist/node/account_limits.py
+++ b/medlarhoist/node/account_limits.py
@@ -21,6 +21,8 @@
 from medlarhoist.utils.clock import boot_seconds
 from medlarhoist.wire.message import Shares
 
+# A parent of many children reports this often, others with their evidence.
+REPORT_S: Final = 0.1
 # Bounds the metrics, whatever the number of accounts is.
 COUNTED_ACCOUNTS: Final = 64
 OTHER_ACCOUNTS: Final = 'other accounts'
@@ -66,6 +68,7 @@
         '_own_shares',
         '_random',
         '_refused',
+        '_reported_at',
         '_send',
         '_shares',
         '_usage',
@@ -92,6 +95,7 @@
         self._own_shares: dict[str, float] = {}
         self._refused: dict[str, int] = {}
         self._is_used = False
+        self._reported_at = now
         self.contact_age_s: Callable[[], float] = float
         self.is_missing: Callable[[str], bool] = bool
 
@@ -132,10 +136,14 @@
             self._usage.record(child, rows, now)
 
     def report(self) -> tuple[UsageRow, ...]:
-        """Return the usage of the subtree since the last report."""
-        if not self._is_used:
-            return ()
+        """Return the usage of the subtree since the last report.
+
+        Empty within `REPORT_S` of the last one.
+        """
         now = boot_seconds()
+        if not self._is_used or now - self._reported_at < REPORT_S:
+            return ()
+        self._reported_at = now
         self._usage.record(self._name, self._limiter.collect(now), now)
         return self._usage.collect(now)
 
--- a/medlarhoist/node/metrics.py
+++ b/medlarhoist/node/metrics.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from medlarhoist.core.latency import Latencies
+from medlarhoist.node.account_limits import AccountLimitsView
 from medlarhoist.node.lag_monitor import LagView
 from medlarhoist.node.proxy.proxy import ProxyDump
 from medlarhoist.node.recorder import Totals
@@ -88,6 +89,15 @@
     doc='Calls refused as their request crashes targets, or may do so.',
     family=Family.COUNTER,
 )
+ACCOUNT_REFUSALS: Final = Metric(
+    name='account_limit_refusals_total',
+    doc='Calls refused beyond the limit of their account; 64 accounts by name.',
+    family=Family.COUNTER,
+)
+ACCOUNT_SHARES: Final = Metric(
+    name='account_shares',
+    doc='Accounts whose rate is divided among the nodes.',
+)
 ENDED_WITH_TARGET: Final = Metric(
     name='requests_ended_with_target_total',
     doc='Requests in progress when a run of the target of this VM ended.',
@@ -130,6 +140,8 @@
     TARGET_RATE_LIMIT,
     SUSPECT_REQUESTS,
     QUARANTINE_REFUSALS,
+    ACCOUNT_REFUSALS,
+    ACCOUNT_SHARES,
     ENDED_WITH_TARGET,
     CONNECTIONS,
     DOMAIN_MEMBERS,
@@ -171,6 +183,7 @@
     traffic = distribution.traffic
     yield from _list_volumes('sent', traffic.sent)
     yield from _list_volumes('received', traffic.received)
+    yield from _list_account_limits(distribution.account_limits)
     yield from _list_proxy(proxy)
     for total in totals:
         yield from _list_calls(total)
@@ -185,6 +198,13 @@
     yield Sample(metric=LAG_SUM, number=lag.total_seconds)
 
 
+def _list_account_limits(limits: AccountLimitsView) -> Iterator[Sample]:
+    yield Sample(metric=ACCOUNT_SHARES, number=len(limits.shares))
+    for account, count in limits.refused.items():
+        labels = {'account': account}
+        yield Sample(metric=ACCOUNT_REFUSALS, number=count, labels=labels)
+
+
 def _list_proxy(proxy: ProxyDump) -> Iterator[Sample]:
     for metric, number in (
         (CALL_RETRIES, proxy.retries),
--- a/medlarhoist/node/uplink_receiver.py
+++ b/medlarhoist/node/uplink_receiver.py
@@ -20,6 +20,7 @@
 from medlarhoist.node.downlink import Downlink
 from medlarhoist.node.join import Directory
 from medlarhoist.node.keeper import Keeper
+from medlarhoist.utils.clock import boot_seconds
 from medlarhoist.wire.acks import is_complete, sum_acks
 from medlarhoist.wire.message import (
     Abandoned,
@@ -76,7 +77,7 @@
         self._on_ages: Callable[[dict[str, int]], None] = _ignore_ages
         self._on_summary: Callable[[Summary], bool] = _ignore_summary
         self._behind_since: float = 0
-        self._leader_contact_at = time.monotonic()
+        self._leader_contact_at = boot_seconds()
         self._reported_at: float = 0
 
     def on_summary(
@@ -108,7 +109,7 @@
             self._evaluate_parent(message)
             return self.establish(message)
         if isinstance(message, Activated):
-            self._leader_contact_at = time.monotonic()
+            self._leader_contact_at = boot_seconds()
             _record_acceptance(self._configuration, message)
             return not self._keeper.activate(message.version, message.epoch)
         if isinstance(message, Shares):
@@ -128,7 +129,7 @@
         The leader of the sources sends to the keepers only; other nodes read
         the age of that contact from the heartbeats of their parents.
         """
-        return time.monotonic() - self._leader_contact_at
+        return boot_seconds() - self._leader_contact_at
 
     def reset_parent(self) -> None:
         """Evaluate a new parent by its own messages only."""
@@ -194,18 +195,15 @@
     def reports(self) -> list[Report]:
         """Return evidence and usage of the subtree since the last report.
 
-        It is empty if there is none, or within `REPORT_SECONDS` of the last
-        report. What is returned is discarded here.
+        There is no evidence within `REPORT_SECONDS` of the last one. What is
+        returned is discarded here.
         """
-        now = time.monotonic()
-        if now - self._reported_at < REPORT_SECONDS:
-            return []
-        self._reported_at = now
-        rows: tuple[EvidenceRow, ...] = (
-            *self._evidence.drain(),
-            *self._downlink.pop_rows(),
-        )
         usage = self._downlink.account_limits.report()
+        rows: tuple[EvidenceRow, ...] = ()
+        now = time.monotonic()
+        if now - self._reported_at >= REPORT_SECONDS:
+            self._reported_at = now
+            rows = (*self._evidence.drain(), *self._downlink.pop_rows())
         if not rows and not usage:
             return []
         return [Report(rows=merge_rows(rows), usage=usage)]
@@ -237,7 +235,7 @@
 
     def _evaluate_parent(self, message: Established) -> None:
         now = time.monotonic()
-        contact_at = now - message.age_ms / MS_PER_SECOND
+        contact_at = boot_seconds() - message.age_ms / MS_PER_SECOND
         self._leader_contact_at = max(self._leader_contact_at, contact_at)
         floor = self._configuration.floor or 0
         if message.version >= max(floor, self._configuration.established):
--- a/medlarhoist/source/account_limits.py
+++ b/medlarhoist/source/account_limits.py
@@ -10,7 +10,7 @@
 from medlarhoist.core.account_subtree import SubtreeUsage
 from medlarhoist.core.account_usage import UsageRow
 from medlarhoist.core.resource import Account
-from medlarhoist.core.snapshot import Snapshot
+from medlarhoist.core.snapshot import EMPTY_SNAPSHOT, Snapshot
 from medlarhoist.utils.clock import boot_seconds
 from medlarhoist.wire.message import Shares
 
@@ -24,7 +24,7 @@
     nodes, which keep the shares that they have meanwhile.
     """
 
-    __slots__ = ('_accounts', '_control', '_send', '_usage', '_version')
+    __slots__ = ('_accounts', '_control', '_active', '_send', '_usage')
 
     def __init__(self, send: Send) -> None:
         """Start without usage.
@@ -34,7 +34,7 @@
         """
         self._send = send
         self._accounts: dict[str, Account] = {}
-        self._version = 0
+        self._active = EMPTY_SNAPSHOT
         self.reset()
 
     def reset(self) -> None:
@@ -64,8 +64,8 @@
         Args:
             active: the active configuration.
         """
-        if active.version != self._version:
-            self._version = active.version
+        if active is not self._active:
+            self._active = active
             self._accounts = {
                 account.name: account
                 for account in active.accounts
