--- a/medlarhoist/core/account_control.py
+++ b/medlarhoist/core/account_control.py
@@ -25,6 +25,8 @@
 # Reports come at this interval, and in whole requests.
 REPORT_S: Final = 0.25
 REPORT_REQUESTS: Final = 5
+# How full a bucket is taken to be that a new leader doesn't know.
+UNKNOWN_PART: Final = 0.5
 # A longer debt would refuse an account for long after few seconds of excess.
 MAX_DEBT_S: Final = 5.0
 
@@ -121,8 +123,9 @@
             account = accounts.get(row.account)
             if account is None or not account.rate:
                 continue
-            # A new leader doesn't know what was used before it.
-            start = _depth(account) if is_settled else 0
+            # A new leader doesn't know what was used before it: a full bucket
+            # could admit a burst twice, an empty one refuse a usual load.
+            start = _depth(account) * (1 if is_settled else UNKNOWN_PART)
             bucket = self._buckets.setdefault(row.account, _Bucket(start))
             debt = account.rate * MAX_DEBT_S
             bucket.level = max(bucket.level - row.admitted, -debt)
--- a/medlarhoist/core/account_control_test.py
+++ b/medlarhoist/core/account_control_test.py
@@ -326,7 +326,7 @@
     assert len(reported) == ROWS_PER_REPORT
     assert reported[0].account == 'account-9999'
     total = sum(row.admitted for row in reported)
-    for at in range(6, 96):
+    for at in range(6, 206):
         usage.hear('child', at / 4)
         total += sum(row.admitted for row in usage.collect(at / 4))
     assert total == sum(row.admitted for row in rows)
--- a/medlarhoist/core/account_subtree.py
+++ b/medlarhoist/core/account_subtree.py
@@ -38,7 +38,7 @@
 SPARE_DEMAND: Final = 0.2
 # Bounds of memory and bytes, whatever the number of accounts is.
 ACCOUNTS_PER_CHILD: Final = 1024
-ROWS_PER_REPORT: Final = 128
+ROWS_PER_REPORT: Final = 64
 ROWS_PER_UPDATE: Final = 32
 _FORGOTTEN: Final = 0.02
 _CHANGE: Final = 0.1
