--- a/medlarhoist/core/account_control.py
+++ b/medlarhoist/core/account_control.py
@@ -119,13 +119,14 @@
     ) -> None:
         """Charge the reported requests."""
         is_settled = now - self._started_at >= SETTLE_S
+        part = 1 if is_settled else UNKNOWN_PART
         for row in usage.collect(now, limit=len(accounts)):
             account = accounts.get(row.account)
             if account is None or not account.rate:
                 continue
             # A new leader doesn't know what was used before it: a full bucket
             # could admit a burst twice, an empty one refuse a usual load.
-            start = _depth(account) * (1 if is_settled else UNKNOWN_PART)
+            start = _depth(account) * part
             bucket = self._buckets.setdefault(row.account, _Bucket(start))
             debt = account.rate * MAX_DEBT_S
             bucket.level = max(bucket.level - row.admitted, -debt)
