Stop serving keys in time where a withdrawal could be missed

Cause: a node out of touch kept the keys of the version that it held, so a withdrawn key ran there for as long as the node was cut off. A node also had no evidence to decide by: the age of its contact with the leader was dated by the arrival of messages, which wait in the sockets of a paused process.

Change: the leader tells until when a majority followed it and which version was active then; keepers and nodes pass that on at once, converted by the time of a message of the receiver, so that no delay makes it look newer. It is counted on CLOCK_BOOTTIME. With revocation_ms set (revoke_s where revoke_strict is true) a node serves calls with keys for 0.9 of it after such a moment, if the version that it names is in force. After that it answers 503 with Retry-After, and logs and counts it. An unknown key gets 401 only while the moment is less than 1.5 s old. A node that has started is ready once it knows of one, and looks for another parent from 0.6 of the bound on.

--- a/bench/calls_static.py
+++ b/bench/calls_static.py
@@ -10,6 +10,7 @@
 from msgspec.structs import replace
 
 from medlarhoist.core.compile import Compiled
+from medlarhoist.core.confirmation import Confirmations
 from medlarhoist.core.resource import Limits, Route, Service
 from medlarhoist.core.settings import NodeSettings
 from medlarhoist.core.snapshot import Share, Snapshot
@@ -27,13 +28,15 @@
     Args:
         active: the configuration in force, which calls are routed by; None
             before the node has one.
+        confirmations: when its versions were known to be the newest.
     """
 
-    __slots__ = ('active',)
+    __slots__ = ('active', 'confirmations')
 
     def __init__(self, active: Compiled | None) -> None:
         """Create it with the configuration in force."""
         self.active = active
+        self.confirmations = Confirmations()
 
 
 class StaticRegistry:
--- a/bench/distribution_fake.py
+++ b/bench/distribution_fake.py
@@ -21,6 +21,7 @@
 from medlarhoist.core.interfaces import AppliedCallback, NotLeader
 from medlarhoist.core.settings import Peer
 from medlarhoist.core.state import State
+from medlarhoist.utils.clock import boot_seconds
 
 
 class FakeLog:
@@ -78,16 +79,18 @@
 class FakeLedger:
     """The ledger of one source; every proposal commits immediately.
 
-    `commands` holds the commands proposed by this source, in order.
+    `commands` holds the commands proposed by this source, in order. While
+    `is_followed` is false, no majority confirms that it leads.
     """
 
-    __slots__ = ('_log', '_name', 'commands')
+    __slots__ = ('_log', '_name', 'commands', 'is_followed')
 
     def __init__(self, log: FakeLog, name: str) -> None:
         """Attach a source to the shared log."""
         self._log = log
         self._name = name
         self.commands: list[Command] = []
+        self.is_followed = True
 
     @property
     def peers(self) -> tuple[Peer, ...]:
@@ -104,6 +107,12 @@
         """Return whether this source is the leader."""
         return self._log.leader == self._name
 
+    @property
+    def led_at(self) -> float | None:
+        """Return the present time on the leader, None on another source."""
+        leads = self.is_leader and self.is_followed
+        return boot_seconds() if leads else None
+
     @property
     def leader(self) -> str:
         """Return the name of the leader, empty for none."""
--- a/bench/distribution_fleet.py
+++ b/bench/distribution_fleet.py
@@ -160,10 +160,11 @@
 class Fleet:
     """Sources and nodes that share one fake log.
 
-    `nodes` maps the name of each node to its current process.
+    `nodes` maps the name of each node to its current process; `revocation_ms`
+    is a setting of the nodes that are added.
     """
 
-    __slots__ = ('_ports', 'log', 'nodes', 'sources')
+    __slots__ = ('_ports', 'log', 'nodes', 'revocation_ms', 'sources')
 
     def __init__(self, sources: int, keepers: int) -> None:
         """Create the sources, not started; the first one is the leader.
@@ -173,6 +174,7 @@
             keepers: number of keepers in each failure domain.
         """
         self._ports = PortPool()
+        self.revocation_ms = 0
         peers = tuple(
             Peer(
                 name=f's{number}',
@@ -296,6 +298,7 @@
             entry='127.0.0.1:1',
             peer='127.0.0.1:1',
             seeds=self._seeds(domain),
+            revocation_ms=self.revocation_ms,
         )
 
 
--- a/medlarhoist/core/interfaces.py
+++ b/medlarhoist/core/interfaces.py
@@ -26,6 +26,14 @@
     def is_leader(self) -> bool:
         """Return whether this source leads and its lease is valid."""
 
+    @property
+    def led_at(self) -> float | None:
+        """Return the latest time when a majority still followed this leader.
+
+        In seconds of boot_seconds; None if this source does not lead. The
+        state holds all that was committed before.
+        """
+
     @property
     def leader(self) -> str:
         """Return the name of the leader, empty if it is unknown."""
--- a/medlarhoist/core/settings.py
+++ b/medlarhoist/core/settings.py
@@ -152,6 +152,9 @@
         grace_ms: time from SIGTERM until the process is killed, milliseconds;
             requests that are in progress shortly before are ended.
         quarantine: whether requests that crash their targets are refused.
+        revocation_ms: time after the acceptance of a version within which a
+            key that it withdraws must be refused, also by a node that is out
+            of touch, milliseconds; zero for no limit.
         logs: how it logs.
     """
 
@@ -170,6 +173,7 @@
     heartbeat_ms: Annotated[int, Meta(ge=100, le=60_000)] = 1000
     grace_ms: Annotated[int, Meta(ge=3000, le=600_000)] = 60_000
     quarantine: bool = True
+    revocation_ms: Annotated[int, Meta(ge=0, le=3_600_000)] = 0
     logs: Logs = Logs()
 
 
--- a/medlarhoist/node/app.py
+++ b/medlarhoist/node/app.py
@@ -12,7 +12,7 @@
 from medlarhoist.core.shared_records import create_shared_records
 from medlarhoist.core.snapshot import Share
 from medlarhoist.node.clamp import create_clamp
-from medlarhoist.node.configuration import create_configuration
+from medlarhoist.node.configuration import create_configuration, may_serve
 from medlarhoist.node.distribution import create_distribution
 from medlarhoist.node.gossip import create_membership
 from medlarhoist.node.metrics import list_node_samples
@@ -97,10 +97,13 @@
     def is_ready(self) -> bool:
         """Return whether callers may use this node.
 
-        They may once it has a configuration, and until it begins to stop.
+        They may once it has a configuration, and until it begins to stop. A
+        configuration with accounts must have been confirmed since the start,
+        where withdrawn keys bind nodes out of touch.
         """
-        has_configuration = self._configuration.active is not None
-        return has_configuration and not self._is_stopping
+        if self._is_stopping:
+            return False
+        return may_serve(self._configuration, self._cfg.revocation_ms)
 
     def apply_settings(self, cfg: NodeSettings) -> None:
         """Apply settings that were read again; called by the reloader.
--- a/medlarhoist/node/configuration.py
+++ b/medlarhoist/node/configuration.py
@@ -15,7 +15,9 @@
 from msgspec import Struct
 
 from medlarhoist.core.acceptance import AcceptanceTimes
+from medlarhoist.core.accounts import has_accounts
 from medlarhoist.core.compile import Compiled, create_incremental_compiler
+from medlarhoist.core.confirmation import Confirmations
 from medlarhoist.core.delta import apply_changes
 from medlarhoist.core.digest import create_incremental_digest
 from medlarhoist.core.resource import Fault
@@ -68,6 +70,7 @@
 
     Args:
         acceptance: when the newest versions were accepted.
+        confirmations: when versions were known to be the newest.
         active: the compiled version in force, None for none.
         established: the highest version that is established and compiled
             here.
@@ -83,6 +86,7 @@
         '_refused',
         'acceptance',
         'active',
+        'confirmations',
         'established',
         'floor',
         'history',
@@ -95,6 +99,7 @@
         self._compiled: dict[int, Compiled] = {}
         self._refused: dict[int, tuple[Fault, ...]] = {}
         self.acceptance = AcceptanceTimes()
+        self.confirmations = Confirmations()
         self.active: Compiled | None = None
         self.floor: int | None = None
         self.established = EMPTY_SNAPSHOT.version
@@ -252,6 +257,22 @@
     return Configuration(compile_snapshot or create_incremental_compiler())
 
 
+def may_serve(configuration: Configuration, revocation_ms: int) -> bool:
+    """Return whether a node that has started has what calls need.
+
+    Args:
+        configuration: the versions that it holds.
+        revocation_ms: as in its settings. With a limit, a version with
+            accounts must have been confirmed since the start.
+    """
+    active = configuration.active
+    if active is None:
+        return False
+    if not revocation_ms or not has_accounts(active):
+        return True
+    return not configuration.confirmations.is_empty
+
+
 def view_configuration(configuration: Configuration) -> ConfigurationView:
     """Return the state for a dump."""
     active = configuration.active
--- a/medlarhoist/node/configuration_test.py
+++ b/medlarhoist/node/configuration_test.py
@@ -1,9 +1,12 @@
 """Tests of versions that arrive out of order, late or twice."""
 
 import pytest
+from msgspec.structs import replace
 
 from bench.distribution_fleet import create_snapshot
-from medlarhoist.node.configuration import create_configuration
+from medlarhoist.core.confirmation import Contact
+from medlarhoist.core.resource import Account
+from medlarhoist.node.configuration import create_configuration, may_serve
 from medlarhoist.wire.message import Stage
 from medlarhoist.wire.snapshot_history import SnapshotHistory
 
@@ -93,3 +96,22 @@
     history = SnapshotHistory()
     history.put(create_snapshot(4, 3))
     assert history.stage_message(4, 3, 'unknown').snapshot is not None
+
+
+def test_a_node_serves_accounts_once_it_has_heard_of_the_leader(configuration):
+    """Until then each call with a key would be refused."""
+    assert may_serve(configuration, 0)
+    assert may_serve(configuration, 5000)
+    held = replace(create_snapshot(4, 3), accounts=(Account(name='studio'),))
+    configuration.stage(Stage(version=4, snapshot=held))
+    configuration.establish(4)
+    assert may_serve(configuration, 0)
+    assert not may_serve(configuration, 5000)
+    configuration.confirmations.record(
+        Contact(version=4, sent_ms=1, offset_ms=0)
+    )
+    assert may_serve(configuration, 5000)
+
+
+def test_a_node_without_a_version_does_not_serve():
+    assert not may_serve(create_configuration(), 0)
--- a/medlarhoist/node/downlink.py
+++ b/medlarhoist/node/downlink.py
@@ -11,6 +11,7 @@
 from typing import Any, Final
 
 from loguru import logger
+from msgspec.structs import replace
 
 from medlarhoist.core.evidence import EvidenceRow
 from medlarhoist.core.floor import epoch_of
@@ -103,10 +104,15 @@
 
     def send_established(self) -> None:
         """Announce the established version to every child."""
-        self.broadcast(self.established())
+        told = self.established()
+        for session in self.sessions.values():
+            session.send(_add_contact(told, self._configuration, session))
 
     def established(self) -> Established:
-        """Return the message that tells the established version."""
+        """Return the message that tells the established version.
+
+        It has no contact, which is another one for each child.
+        """
         version = self._configuration.established
         acceptance = self._configuration.acceptance
         return Established(
@@ -183,7 +189,8 @@
         established = self._configuration.established
         if session.delta_base.version < established:
             self._offer(session, established)
-        session.send(self.established())
+        told = self.established()
+        session.send(_add_contact(told, self._configuration, session))
         staged = self._configuration.staged
         if staged:
             self._offer(session, staged)
@@ -212,6 +219,13 @@
             session.send_stage(stage, history.digest(version))
 
 
+def _add_contact(
+    told: Established, configuration: Configuration, session: Session
+) -> Established:
+    contact = configuration.confirmations.contact_for(session.anchor)
+    return replace(told, contact=contact)
+
+
 def _ignore() -> None:
     """Ignore a change."""
 
--- a/medlarhoist/node/metrics.py
+++ b/medlarhoist/node/metrics.py
@@ -88,6 +88,21 @@
     doc='Calls refused as their request crashes targets, or may do so.',
     family=Family.COUNTER,
 )
+ACCOUNT_CALLS: Final = Metric(
+    name='account_calls_total',
+    doc='Calls by client account; an empty name counts those past a bound.',
+    family=Family.COUNTER,
+)
+UNKNOWN_KEYS: Final = Metric(
+    name='unknown_keys_total',
+    doc='Calls refused with 401, as they carried no known key.',
+    family=Family.COUNTER,
+)
+UNCONFIRMED: Final = Metric(
+    name='unconfirmed_calls_total',
+    doc='Calls refused as their keys may have been withdrawn unnoticed.',
+    family=Family.COUNTER,
+)
 ENDED_WITH_TARGET: Final = Metric(
     name='requests_ended_with_target_total',
     doc='Requests in progress when a run of the target of this VM ended.',
@@ -130,6 +145,9 @@
     TARGET_RATE_LIMIT,
     SUSPECT_REQUESTS,
     QUARANTINE_REFUSALS,
+    ACCOUNT_CALLS,
+    UNKNOWN_KEYS,
+    UNCONFIRMED,
     ENDED_WITH_TARGET,
     CONNECTIONS,
     DOMAIN_MEMBERS,
@@ -196,9 +214,14 @@
         (CALLS_WAITING, proxy.waiting),
         (TARGET_RATE_LIMIT, proxy.rate_limit),
         (QUARANTINE_REFUSALS, proxy.quarantine_refusals),
+        (UNKNOWN_KEYS, proxy.unknown_keys),
+        (UNCONFIRMED, proxy.unconfirmed),
         (ENDED_WITH_TARGET, proxy.target_deaths),
     ):
         yield Sample(metric=metric, number=number)
+    for account, count in proxy.account_calls.items():
+        labels = {'account': account}
+        yield Sample(metric=ACCOUNT_CALLS, number=count, labels=labels)
     suspects = [record for record in proxy.quarantine if record.deaths]
     quarantined = sum(record.is_quarantined for record in suspects)
     for state, count in (
--- a/medlarhoist/node/metrics_test.py
+++ b/medlarhoist/node/metrics_test.py
@@ -64,6 +64,9 @@
     target_deaths=3,
     quarantine_refusals=4,
     quarantine=(Suspicion('ab' * 12, deaths=3, wait_ms=1000),),
+    account_calls={'studio': 8, '': 2},
+    unknown_keys=9,
+    unconfirmed=11,
     node_connections={},
     targets={},
 )
@@ -98,3 +101,14 @@
     assert 'medlarhoist_requests_ended_with_target_total 3' in rendered
     assert 'calls_within_total{le="0.1",service="seats"} 1' in rendered
     assert 'calls_within_total{le="0.05",service="seats"} 0' in rendered
+
+
+def test_metrics_show_calls_by_account_and_refusals_by_key():
+    metrics = create_metrics()
+    distribution = convert(DISTRIBUTION, DistributionView)
+    metrics.add(lambda: list_node_samples(distribution, PROXY, (), {}))
+    rendered = metrics.render().decode()
+    assert 'medlarhoist_account_calls_total{account="studio"} 8' in rendered
+    assert 'medlarhoist_account_calls_total{account=""} 2' in rendered
+    assert 'medlarhoist_unknown_keys_total 9' in rendered
+    assert 'medlarhoist_unconfirmed_calls_total 11' in rendered
--- a/medlarhoist/node/proxy/account_gate.py
+++ b/medlarhoist/node/proxy/account_gate.py
@@ -1,6 +1,8 @@
 """Account gate: finds the account of each call, and refuses unknown keys."""
 
+from collections import Counter
 from collections.abc import Sequence
+from math import inf
 from typing import Final
 
 from msgspec import structs
@@ -12,35 +14,78 @@
     replace_credentials,
 )
 from medlarhoist.core.compile import Compiled
+from medlarhoist.core.confirmation import Confirmations
 from medlarhoist.core.header_names import HeaderNames, find_parent_id
 from medlarhoist.core.headers import Header
 from medlarhoist.core.resource import Account, Route
 from medlarhoist.core.verdict import Verdict
 from medlarhoist.node.proxy.attempt import Failure
 from medlarhoist.node.proxy.call import Call
+from medlarhoist.node.proxy.call_log import log_confirmation
 from medlarhoist.node.proxy.running import RunningRequests
-
+from medlarhoist.utils.clock import boot_seconds
+
+MAX_COUNTED: Final = 256
+# Operators expect a version in force 2 s after its acceptance. From then on a key
+# that it has added must not be called unknown.
+UNKNOWN_KEY_S: Final = 1.5
+# Contacts with the leader are passed on about once a second.
+_RETURN_S: Final = 1.0
 _UNKNOWN_KEY: Final = Failure(Verdict.DID_NOT_RUN, 'unknown key', 401)
+_UNCONFIRMED: Final = Failure(
+    Verdict.DID_NOT_RUN,
+    'keys are not confirmed',
+    return_s=_RETURN_S,
+)
 
 
 class AccountGate:
     """Finds the accounts of the calls that enter at one node.
 
     Args:
+        calls: calls by the name of their account, at most MAX_COUNTED names;
+            those of further accounts are counted under the empty name.
         unknown_keys: calls that were refused without a known key.
+        unconfirmed: calls that were refused as this node could not tell
+            whether their keys were withdrawn.
+        is_confirmed: whether it could tell at the latest call with a key.
     """
 
-    __slots__ = ('_names', '_running', 'unknown_keys')
-
-    def __init__(self, names: HeaderNames, running: RunningRequests) -> None:
+    __slots__ = (
+        '_confirmations',
+        '_lease_s',
+        '_names',
+        '_running',
+        'calls',
+        'is_confirmed',
+        'unconfirmed',
+        'unknown_keys',
+    )
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        running: RunningRequests,
+        confirmations: Confirmations,
+        lease_s: float,
+    ) -> None:
         """Start without calls.
 
         Args:
             names: names of the headers of callers and targets.
             running: the requests at the target beside this node.
+            confirmations: when the versions of this node were known to be the
+                newest.
+            lease_s: seconds after such a moment for which keys are served,
+                zero for ever.
         """
+        self._confirmations = confirmations
+        self._lease_s = lease_s
         self._names = names
         self._running = running
+        self.calls: Counter[str] = Counter()
+        self.is_confirmed = True
+        self.unconfirmed = 0
         self.unknown_keys = 0
 
     def admit(
@@ -65,17 +110,42 @@
         if not has_accounts(compiled):
             return None
         account = find_account(compiled, self._names, headers)
-        if account is not None or route.anonymous:
+        if route.anonymous:
+            return account
+        if account is None and self._is_nested(headers, caller_id):
+            return None
+        age_s = self._read_age(compiled.version)
+        if account is not None and age_s < (self._lease_s or inf):
             return account
+        if account is None and age_s < UNKNOWN_KEY_S:
+            self.unknown_keys += 1
+            return _UNKNOWN_KEY
+        self.unconfirmed += 1
+        return _UNCONFIRMED
+
+    def _is_nested(self, headers: Sequence[Header], caller_id: str) -> bool:
+        """Return whether a request without a key comes from the target."""
         has_credential = any(
             name == self._names.credential for name, _ in headers
         )
         parent_id = find_parent_id(self._names, caller_id)
-        is_nested = self._running.find_account(parent_id) is not None
-        if is_nested and not has_credential:
-            return None
-        self.unknown_keys += 1
-        return _UNKNOWN_KEY
+        if has_credential:
+            return False
+        return self._running.find_account(parent_id) is not None
+
+    def _read_age(self, version: int) -> float:
+        """Return the seconds since a version was known to be the newest.
+
+        Zero where withdrawals need not bind nodes out of touch.
+        """
+        if not self._lease_s:
+            return 0
+        age_s = self._confirmations.seconds_since(version, boot_seconds())
+        is_confirmed = age_s < self._lease_s
+        if is_confirmed is not self.is_confirmed:
+            self.is_confirmed = is_confirmed
+            log_confirmation(version, age_s, is_confirmed=is_confirmed)
+        return age_s
 
     def assign(
         self,
@@ -102,3 +172,9 @@
         inherited = self._running.find_account(parent_id)
         if account is None and inherited:
             call.account = find_named_account(compiled, inherited)
+        if call.account is not None:
+            self._count(call.account.name)
+
+    def _count(self, name: str) -> None:
+        is_counted = name in self.calls or len(self.calls) < MAX_COUNTED
+        self.calls[name if is_counted else ''] += 1
--- a/medlarhoist/node/proxy/accounts_test.py
+++ b/medlarhoist/node/proxy/accounts_test.py
@@ -7,7 +7,7 @@
 import pytest
 from msgspec.structs import replace
 
-from bench.calls_mesh import Mesh
+from bench.calls_mesh import Mesh, format_request_head
 from bench.calls_static import compile_sample
 from medlarhoist.core.accounts import digest_key
 from medlarhoist.core.compile import Compiled
@@ -85,6 +85,27 @@
     assert b'other' not in text
 
 
+def test_trailers_bring_no_key_and_no_name(run_mesh, serve_raw):
+    received = []
+
+    async def scenario(mesh: Mesh):
+        async def respond(reader, writer):
+            received.append(await reader.readuntil(b'0\r\n\r\n'))
+            writer.write(DONE)
+
+        await mesh.add(port=await serve_raw(respond))
+        lines = (KEY, 'Transfer-Encoding: chunked', 'Trailer: X-Account')
+        head = format_request_head('POST', '/', 'r', lines)
+        body = (
+            b'1\r\na\r\n0\r\nAuthorization: Token k-1\r\nX-Account: other\r\n'
+        )
+        return await mesh.send(b'%b%b\r\n' % (head, body))
+
+    assert run_mesh(scenario, _compile_with(NAMED)).status == 200
+    assert b'k-1' not in received[0]
+    assert received[0].lower().count(b'x-account') == 1
+
+
 def test_a_retry_passes_the_name_on(run_mesh, record, heads):
     async def scenario(mesh: Mesh):
         await mesh.add(port=await record(FULL))
--- a/medlarhoist/node/proxy/call_log.py
+++ b/medlarhoist/node/proxy/call_log.py
@@ -78,6 +78,22 @@
     ).info('calls: a call was not routed')
 
 
+def log_confirmation(version: int, age_s: float, *, is_confirmed: bool) -> None:
+    """Log that calls with keys are refused from now on, or served again.
+
+    Args:
+        version: version of the configuration in force.
+        age_s: seconds since it was known to be the newest, infinite if that
+            was not known since the start.
+        is_confirmed: whether they are served.
+    """
+    bound = logger.bind(version=version, age_s=round(age_s, 2))
+    if is_confirmed:
+        bound.info('accounts: calls with keys are served again')
+    else:
+        bound.warning('accounts: keys are not confirmed; calls are refused')
+
+
 def log_refusal(caller_id: str, reason: str, load: Load, left_s: float) -> None:
     """Log that the target's node refused a call and did not send it.
 
--- a/medlarhoist/node/proxy/factory.py
+++ b/medlarhoist/node/proxy/factory.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from medlarhoist.core.balance import NodeLocation
+from medlarhoist.core.confirmation import lease_seconds
 from medlarhoist.core.fingerprint import make_fingerprint_key
 from medlarhoist.core.header_names import DEFAULT_HEADER_NAMES, HeaderNames
 from medlarhoist.core.interfaces import CallRecorder, Registry, ShareLimiter
@@ -75,7 +76,12 @@
         remote=RemoteNodes(cfg.name, cfg.domain, key, time.time),
         observer=Observer(selector, recorder),
         suspicions=CallSuspicions(fingerprint_key, quarantine),
-        accounts=AccountGate(header_names, local.running),
+        accounts=AccountGate(
+            header_names,
+            local.running,
+            configuration.confirmations,
+            lease_seconds(cfg.revocation_ms),
+        ),
     )
     peer_service = PeerService(local, cfg.domain, key, time.time)
     return Proxy(cfg, parts, peer_service)
--- a/medlarhoist/node/proxy/parts.py
+++ b/medlarhoist/node/proxy/parts.py
@@ -5,6 +5,7 @@
 from msgspec import Struct, field
 
 from medlarhoist.core.compile import Compiled
+from medlarhoist.core.confirmation import Confirmations
 from medlarhoist.core.header_names import HeaderNames
 from medlarhoist.node.proxy.account_gate import AccountGate
 from medlarhoist.node.proxy.call_suspicion import CallSuspicions
@@ -15,7 +16,13 @@
 
 
 class ConfigurationView(Protocol):
-    """The configuration in force at this node."""
+    """The configuration in force at this node.
+
+    Attributes:
+        confirmations: when its versions were known to be the newest.
+    """
+
+    confirmations: Confirmations
 
     @property
     def active(self) -> Compiled | None:
--- a/medlarhoist/node/proxy/proxy.py
+++ b/medlarhoist/node/proxy/proxy.py
@@ -62,6 +62,11 @@
         quarantine_refusals: requests refused as they crash their targets, or
             may not run now as they are suspected to.
         quarantine: the requests that are suspected to crash their targets.
+        account_calls: calls by the name of their client account; those of
+            accounts past a bound are counted under the empty name.
+        unknown_keys: calls refused without a known key.
+        unconfirmed: calls refused as this node could not tell whether their
+            keys were withdrawn.
         node_connections: open connections to other nodes, by address.
         targets: observations of targets, by address.
     """
@@ -84,6 +89,9 @@
     target_deaths: int
     quarantine_refusals: int
     quarantine: tuple[Suspicion, ...]
+    account_calls: dict[str, int]
+    unknown_keys: int
+    unconfirmed: int
     node_connections: dict[str, int]
     targets: dict[str, 'SeenTarget']
 
@@ -252,6 +260,9 @@
             quarantine_refusals=suspects.refused
             + self._parts.suspicions.refused,
             quarantine=suspects.quarantine.export(time.monotonic()),
+            account_calls=dict(self._parts.accounts.calls),
+            unknown_keys=self._parts.accounts.unknown_keys,
+            unconfirmed=self._parts.accounts.unconfirmed,
             node_connections=self._parts.remote.count_connections(),
             targets={
                 address: SeenTarget(
--- a/medlarhoist/node/uplink.py
+++ b/medlarhoist/node/uplink.py
@@ -16,6 +16,7 @@
 from msgspec import Struct
 
 from medlarhoist.core.backoff import delay_seconds, max_delay_seconds
+from medlarhoist.core.confirmation import stale_seconds
 from medlarhoist.core.settings import NodeSettings
 from medlarhoist.core.tree import order_parents
 from medlarhoist.node.join import Directory
@@ -110,7 +111,7 @@
         self._stale_timeout = STALE_SECONDS
         self._random = random
         self._receiver = receiver
-        self._sender = Sender(receiver)
+        self._sender = Sender(cfg, receiver)
         self._tasks: list[asyncio.Task[None]] = []
         self.attempts = 0
         self.parent = ''
@@ -242,8 +243,9 @@
         if self._receiver.is_parent_behind():
             return True
         age = self._receiver.seconds_since_leader()
-        if age < STALE_SECONDS:
-            self._stale_timeout = STALE_SECONDS
+        limit = stale_seconds(self._cfg.revocation_ms, STALE_SECONDS)
+        if age < limit:
+            self._stale_timeout = limit
         if age < self._stale_timeout:
             return False
         self._stale_timeout = min(age * 2, MAX_STALE_SECONDS)
--- a/medlarhoist/node/uplink_receiver.py
+++ b/medlarhoist/node/uplink_receiver.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from loguru import logger
+from msgspec.structs import replace
 
 from medlarhoist.core.command import KeeperSet
 from medlarhoist.core.evidence import EvidenceRow, merge_rows
@@ -20,6 +21,7 @@
 from medlarhoist.node.downlink import Downlink
 from medlarhoist.node.join import Directory
 from medlarhoist.node.keeper import Keeper
+from medlarhoist.utils.clock import boot_seconds
 from medlarhoist.wire.acks import is_complete, sum_acks
 from medlarhoist.wire.message import (
     Abandoned,
@@ -108,7 +110,7 @@
             return self.establish(message)
         if isinstance(message, Activated):
             self._leader_contact_at = time.monotonic()
-            self._record_acceptance(message)
+            self._record_times(message)
             return not self._keeper.activate(message.version, message.epoch)
         if isinstance(message, Abandoned):
             self._configuration.abandon(message.version)
@@ -172,6 +174,7 @@
             schema=SCHEMA,
             whole=full,
             ready=self._keeper.ready,
+            sent_ms=find_sent_ms(self._cfg),
         )
 
     def is_complete(self) -> bool:
@@ -224,10 +227,20 @@
             ready=self._keeper.ready,
         )
 
-    def _record_acceptance(self, message: Activated | Established) -> None:
+    def _record_times(self, message: Activated | Established) -> None:
+        """Record when a version was accepted, and known to be the newest.
+
+        A later contact is passed on at once: waiting for the heartbeat of each
+        node on its way would make it old.
+        """
         self._configuration.acceptance.record(
             message.version, message.since_ms, time.monotonic()
         )
+        contact = message.contact
+        if contact is None:
+            return
+        if self._configuration.confirmations.record(contact):
+            self._downlink.send_established()
 
     def _evaluate_parent(self, message: Established) -> None:
         now = time.monotonic()
@@ -265,15 +278,26 @@
         Returns:
             Whether the version must be staged first.
         """
-        self._record_acceptance(message)
+        self._record_times(message)
         before = self._configuration.established
         if not self._configuration.establish(message.version):
             return True
         if self._configuration.established > before:
-            self._downlink.broadcast(message)
+            # The contact of the message is in this node's time.
+            self._downlink.broadcast(replace(message, contact=None))
         return False
 
 
+def find_sent_ms(cfg: NodeSettings) -> int:
+    """Return the time that a message to the parent is sent with.
+
+    Milliseconds of boot_seconds, zero if the node needs no contacts.
+    """
+    if not cfg.revocation_ms:
+        return 0
+    return int(boot_seconds() * MS_PER_SECOND)
+
+
 def _ignore_ages(ages_ms: dict[str, int]) -> None:
     """Ignore ages."""
 
--- a/medlarhoist/node/uplink_sender.py
+++ b/medlarhoist/node/uplink_sender.py
@@ -6,7 +6,14 @@
 import asyncio
 from typing import Any, Final
 
-from medlarhoist.node.uplink_receiver import REPORT_SECONDS, Receiver
+from msgspec.structs import replace
+
+from medlarhoist.core.settings import NodeSettings
+from medlarhoist.node.uplink_receiver import (
+    REPORT_SECONDS,
+    Receiver,
+    find_sent_ms,
+)
 from medlarhoist.wire.message import Ack
 
 COALESCE_SECONDS: Final = 0.1
@@ -20,10 +27,11 @@
     intervals without a change. Evidence is sent in each interval.
     """
 
-    __slots__ = ('_changed', '_receiver')
+    __slots__ = ('_cfg', '_changed', '_receiver')
 
-    def __init__(self, receiver: Receiver) -> None:
+    def __init__(self, cfg: NodeSettings, receiver: Receiver) -> None:
         """Create the sender of the messages that a receiver provides."""
+        self._cfg = cfg
         self._changed = asyncio.Event()
         self._receiver = receiver
 
@@ -52,8 +60,12 @@
                 if sent.get(ack.version) != ack
             ]
             sent.update((ack.version, ack) for ack in acks)
-            for message in (*acks, *self._receiver.reports()):
-                await stream.send_message(message)
+            for ack in acks:
+                await stream.send_message(
+                    replace(ack, sent_ms=find_sent_ms(self._cfg)),
+                )
+            for report in self._receiver.reports():
+                await stream.send_message(report)
 
     async def _wait(self) -> bool:
         try:
--- a/medlarhoist/ops/commands.py
+++ b/medlarhoist/ops/commands.py
@@ -171,7 +171,8 @@
         """Print the resources in force.
 
         Args:
-            kind: service, route, limits, target-version or move; all by default.
+            kind: service, route, limits, target-version, move, account or
+                domain-drain; all by default.
             name: name of one resource.
         """
         path = '/'.join(part for part in (kind, name) if part)
--- a/medlarhoist/ops/text.py
+++ b/medlarhoist/ops/text.py
@@ -2,6 +2,9 @@
 
 from datetime import UTC, datetime
 
+from msgspec.structs import replace
+
+from medlarhoist.core.accounts import SHOWN_DIGITS
 from medlarhoist.core.api_messages import (
     ApplyResponse,
     DomainReport,
@@ -9,7 +12,7 @@
 )
 from medlarhoist.core.command import MoveState
 from medlarhoist.core.event import Event, EventType
-from medlarhoist.core.resource import Fault, Resource
+from medlarhoist.core.resource import Account, Fault, Resource
 from medlarhoist.core.state import Entry
 from medlarhoist.utils.clock import MILLISECONDS_PER_SECOND
 
@@ -44,7 +47,13 @@
 
 
 def describe_resource(resource: Resource) -> str:
-    """Return the non-empty fields of a resource, except its name."""
+    """Return the non-empty fields of a resource, except its name.
+
+    Of digests of keys the first digits are shown.
+    """
+    if isinstance(resource, Account):
+        shown = tuple(digest[:SHOWN_DIGITS] for digest in resource.key_digests)
+        resource = replace(resource, key_digests=shown)
     fields = [
         f'{field}={getattr(resource, field)}'
         for field in resource.__struct_fields__
--- a/medlarhoist/platform/settings.py
+++ b/medlarhoist/platform/settings.py
@@ -70,9 +70,15 @@
 
 
 class _Bounds(Struct, kw_only=True):
-    """The table `bounds`; the time from SIGTERM to SIGKILL is in seconds."""
+    """The table `bounds`; times are in seconds.
+
+    `grace_s` is the time from SIGTERM to SIGKILL. Keys that were withdrawn
+    bind nodes out of touch only if `is_strict`.
+    """
 
     grace_s: float = 60.0
+    is_strict: bool = field(name='revoke_strict', default=False)
+    revocation_s: float = field(name='revoke_s', default=0)
 
 
 class _Terms(Struct, kw_only=True):
@@ -190,6 +196,8 @@
 ) -> NodeSettings:
     process = settings.process
     listen = settings.network.listen
+    bounds = settings.terms.bounds
+    revocation_s = bounds.revocation_s if bounds.is_strict else 0
     return NodeSettings(
         name=process.name,
         domain=process.domain,
@@ -203,7 +211,8 @@
         service=process.service or '',
         target=process.target or '',
         heartbeat_ms=int(settings.platform.heartbeat_s * _MS_PER_SECOND),
-        grace_ms=int(settings.terms.bounds.grace_s * _MS_PER_SECOND),
+        grace_ms=int(bounds.grace_s * _MS_PER_SECOND),
+        revocation_ms=int(revocation_s * _MS_PER_SECOND),
         logs=Logs(json=True),
     )
 
--- a/medlarhoist/platform/settings_test.py
+++ b/medlarhoist/platform/settings_test.py
@@ -58,6 +58,7 @@
     assert (cfg.domain, cfg.service) == ('uy-south-a', 'huvo11a')
     assert cfg.heartbeat_ms == 1500
     assert cfg.grace_ms == 6000
+    assert cfg.revocation_ms == 0
     assert [peer.control for peer in cfg.sources] == [
         '10.1.0.45:7600',
         '10.2.0.29:7600',
@@ -119,3 +120,19 @@
     settings, faults = parse_settings(text, 's4.yaml')
     assert faults == ()
     assert settings.endpoint.control == '127.0.0.1:7300'
+
+
+@pytest.mark.parametrize(
+    ('bounds', 'revocation_ms'),
+    [
+        ({'revoke_strict': True, 'revoke_s': 2.5}, 2500),
+        ({'revoke_strict': False, 'revoke_s': 5}, 0),
+        ({'revoke_s': 5}, 0),
+    ],
+)
+def test_withdrawn_keys_bind_nodes_out_of_touch_only_if_strict(
+    content, bounds, revocation_ms
+):
+    content['terms'] = {'bounds': bounds}
+    cfg = decode_deployment(content).ok_value.process
+    assert cfg.revocation_ms == revocation_ms
--- a/medlarhoist/source/distributor_children.py
+++ b/medlarhoist/source/distributor_children.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from medlarhoist.core.acceptance import AcceptanceTimes
+from medlarhoist.core.confirmation import Contact, make_contact
 from medlarhoist.core.evidence import EvidenceRow
 from medlarhoist.core.floor import epoch_of
 from medlarhoist.core.interfaces import Ledger
@@ -256,4 +257,15 @@
             since_ms=self._acceptance.ms_since(
                 state.active.version, time.monotonic()
             ),
+            contact=_find_contact(self._ledger, session),
         )
+
+
+def _find_contact(ledger: Ledger, session: Session) -> Contact | None:
+    """Return when the active version was surely the newest, for a keeper."""
+    if session.anchor is None:
+        return None
+    led_at = ledger.led_at
+    if led_at is None:
+        return None
+    return make_contact(ledger.state.active.version, led_at, session.anchor)
--- a/medlarhoist/source/ledger.py
+++ b/medlarhoist/source/ledger.py
@@ -11,7 +11,7 @@
 from medlarhoist.consensus.log import last_index
 from medlarhoist.consensus.log_file import Disk
 from medlarhoist.consensus.message import Compact, ConfirmLeadership, Propose
-from medlarhoist.consensus.quorum import confirmed_round, has_lease
+from medlarhoist.consensus.quorum import confirmed_round, has_lease, lease_start
 from medlarhoist.consensus.replica import Replica, Role
 from medlarhoist.core.command import Command, Outcome
 from medlarhoist.core.interfaces import (
@@ -32,6 +32,7 @@
 )
 from medlarhoist.source.ledger_report import LedgerReport, report_replica
 from medlarhoist.source.ledger_state_machine import ApplyCommand, StateMachine
+from medlarhoist.utils.clock import create_boot_converter
 from medlarhoist.wire.codec import encode
 from medlarhoist.wire.rpc import Method
 
@@ -52,6 +53,7 @@
         '_driver',
         '_queue',
         '_state_machine',
+        '_to_boot_seconds',
         '_waiters',
         'peer_service',
     )
@@ -70,6 +72,7 @@
             disk: the system calls that write.
         """
         self._state_machine = StateMachine(apply)
+        self._to_boot_seconds = create_boot_converter()
         self._waiters = Waiters()
         self._queue: list[Proposal] = []
         self._driver = Driver(
@@ -91,6 +94,15 @@
         replica = self._driver.replica
         return replica is not None and has_lease(replica, time.monotonic())
 
+    @property
+    def led_at(self) -> float | None:
+        """Return when a majority last followed; see core.interfaces.Ledger."""
+        replica = self._driver.replica
+        now = time.monotonic()
+        if replica is None or not has_lease(replica, now):
+            return None
+        return self._to_boot_seconds(lease_start(replica, now))
+
     @property
     def leader(self) -> str:
         """Return the name of the leader, empty if it is unknown."""
@@ -195,12 +207,9 @@
         self._waiters.expire(time.monotonic())
         compactable = self._state_machine.applied_index - after.log.base_index
         if compactable >= COMPACT_AFTER_ENTRIES:
-            self._compact(after)
-
-    def _compact(self, replica: Replica) -> None:
-        snapshot = self._state_machine.make_snapshot(replica)
-        if snapshot is not None:
-            self._driver.handle(Compact(snapshot=snapshot))
+            snapshot = self._state_machine.make_snapshot(after)
+            if snapshot is not None:
+                self._driver.handle(Compact(snapshot=snapshot))
 
     def _release_barriers(self, replica: Replica) -> None:
         self._waiters.release_barriers(
--- a/medlarhoist/wire/message.py
+++ b/medlarhoist/wire/message.py
@@ -10,6 +10,7 @@
 from msgspec import Struct
 
 from medlarhoist.core.command import KeeperSet
+from medlarhoist.core.confirmation import Contact
 from medlarhoist.core.evidence import EvidenceRow
 from medlarhoist.core.membership import Member
 from medlarhoist.core.quarantine import Suspicion
@@ -37,6 +38,8 @@
             child could not apply what it received.
         ready: epoch of the keeper set in which the child is ready as a keeper,
             zero for none.
+        sent_ms: when it was sent, milliseconds of the child's boot_seconds;
+            zero if the child needs no contacts.
     """
 
     node: str
@@ -47,6 +50,7 @@
     schema: int = 1
     whole: bool = False
     ready: int = 0
+    sent_ms: int = 0
 
 
 class Ack(Struct, frozen=True, kw_only=True, tag='ack'):
@@ -66,6 +70,7 @@
             zero for none.
         spare: control addresses, by name, of up to eight nodes that could
             become keepers.
+        sent_ms: as in `Hello`.
     """
 
     version: int
@@ -77,6 +82,7 @@
     holds: bool = False
     ready: int = 0
     spare: dict[str, str] = {}
+    sent_ms: int = 0
 
 
 class Report(Struct, frozen=True, kw_only=True, tag='report'):
@@ -125,12 +131,15 @@
         age_ms: time since the last contact with the leader of the sources,
             through all parents up to it, in milliseconds.
         since_ms: time since the version was accepted, in milliseconds.
+        contact: when a version was known to be the newest, for this child;
+            None if it needs none or none is known.
     """
 
     version: int
     epoch: int
     age_ms: int = 0
     since_ms: int = 0
+    contact: Contact | None = None
 
 
 class Activated(Struct, frozen=True, kw_only=True, tag='activated'):
@@ -143,11 +152,13 @@
         version: the version.
         epoch: epoch of the keeper set of the receiver's domain.
         since_ms: time since this leader found it active, in milliseconds.
+        contact: as in `Established`.
     """
 
     version: int
     epoch: int
     since_ms: int = 0
+    contact: Contact | None = None
 
 
 class Abandoned(Struct, frozen=True, kw_only=True, tag='abandoned'):
--- a/medlarhoist/wire/session.py
+++ b/medlarhoist/wire/session.py
@@ -11,6 +11,8 @@
 
 from msgspec import Struct
 
+from medlarhoist.core.confirmation import Anchor
+from medlarhoist.utils.clock import boot_seconds
 from medlarhoist.utils.tasks import run_until_first
 from medlarhoist.wire.channels import CALL_ERRORS
 from medlarhoist.wire.message import Ack, DownMessage, Hello, Stage, UpMessage
@@ -40,6 +42,8 @@
 
     Attributes:
         acks: acknowledgements of the child by version.
+        anchor: the latest message that says when the child sent it, None if
+            the child needs no contacts.
         delta_base: version that deltas to the child are based on.
         closed: set to disconnect the child without sending what is queued.
         hello: newest hello of the child.
@@ -50,6 +54,7 @@
     __slots__ = (
         '_queue',
         'acks',
+        'anchor',
         'delta_base',
         'closed',
         'hello',
@@ -66,6 +71,8 @@
         self.delta_base = DeltaBase(hello.active, hello.digest)
         self.sent_digests: dict[int, str] = {}
         self.closed = asyncio.Event()
+        self.anchor: Anchor | None = None
+        self._record_sending(hello.sent_ms)
 
     @property
     def name(self) -> str:
@@ -98,12 +105,14 @@
         self.delta_base = DeltaBase(hello.active, hello.digest)
         if hello.whole:
             self.delta_base = DeltaBase()
+        self._record_sending(hello.sent_ms)
 
     def record_ack(self, ack: Ack) -> None:
         """Store an acknowledgement; a version held becomes the delta base."""
         self.acks[ack.version] = ack
         while len(self.acks) > MAX_ACKS:
             self.acks.pop(min(self.acks))
+        self._record_sending(ack.sent_ms)
         digest = self.sent_digests.get(ack.version)
         if digest and ack.holds and ack.version >= self.delta_base.version:
             self.delta_base = DeltaBase(ack.version, digest)
@@ -131,6 +140,10 @@
         """Wait for the next message to send; None closes the stream."""
         return await self._queue.get()
 
+    def _record_sending(self, sent_ms: int) -> None:
+        if sent_ms:
+            self.anchor = Anchor(sent_ms, boot_seconds())
+
 
 MessageHandler = Callable[[Session, UpMessage], None]
 
