--- a/medlarhoist/node/uplink_receiver.py
+++ b/medlarhoist/node/uplink_receiver.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from loguru import logger
+from msgspec.structs import replace
 
 from medlarhoist.core.command import KeeperSet
 from medlarhoist.core.evidence import EvidenceRow, merge_rows
@@ -110,7 +111,7 @@
             return self.establish(message)
         if isinstance(message, Activated):
             self._leader_contact_at = boot_seconds()
-            _record_acceptance(self._configuration, message)
+            _record_times(self._configuration, self._downlink, message)
             return not self._keeper.activate(message.version, message.epoch)
         if isinstance(message, Shares):
             self._downlink.account_limits.receive(message)
@@ -173,6 +174,7 @@
             schema=SCHEMA,
             whole=full,
             ready=self._keeper.ready,
+            sent_ms=find_sent_ms(self._cfg),
         )
 
     def is_complete(self) -> bool:
@@ -269,21 +271,42 @@
         Returns:
             Whether the version must be staged first.
         """
-        _record_acceptance(self._configuration, message)
+        _record_times(self._configuration, self._downlink, message)
         before = self._configuration.established
         if not self._configuration.establish(message.version):
             return True
         if self._configuration.established > before:
-            self._downlink.broadcast(message)
+            # The contact of the message is in this node's time.
+            self._downlink.broadcast(replace(message, contact=None))
         return False
 
 
-def _record_acceptance(
-    configuration: Configuration, message: Activated | Established
+def _record_times(
+    configuration: Configuration,
+    downlink: Downlink,
+    message: Activated | Established,
 ) -> None:
+    """Record when a version was accepted, and known to be the newest.
+
+    A later contact is passed on at once: waiting for the heartbeat of each
+    node on its way would make it old.
+    """
     configuration.acceptance.record(
         message.version, message.since_ms, time.monotonic()
     )
+    contact = message.contact
+    if contact is not None and configuration.confirmations.record(contact):
+        downlink.send_established()
+
+
+def find_sent_ms(cfg: NodeSettings) -> int:
+    """Return the time that a message to the parent is sent with.
+
+    Milliseconds of boot_seconds, zero if the node needs no contacts.
+    """
+    if not cfg.revocation_ms:
+        return 0
+    return int(boot_seconds() * MS_PER_SECOND)
 
 
 def _ignore_ages(ages_ms: dict[str, int]) -> None:
