--- a/medlarhoist/source/account_limits.py
+++ b/medlarhoist/source/account_limits.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable, Iterable
+from typing import Final
 
 from medlarhoist.core.account_control import AccountControl
 from medlarhoist.core.account_subtree import SubtreeUsage
@@ -14,6 +15,8 @@
 from medlarhoist.utils.clock import boot_seconds
 from medlarhoist.wire.message import Shares
 
+# The leader is woken far more often by acknowledgements.
+STEP_S: Final = 0.15
 Send = Callable[[str, Shares], None]
 
 
@@ -24,7 +27,14 @@
     nodes, which keep the shares that they have meanwhile.
     """
 
-    __slots__ = ('_accounts', '_control', '_active', '_send', '_usage')
+    __slots__ = (
+        '_accounts',
+        '_active',
+        '_control',
+        '_send',
+        '_stepped_at',
+        '_usage',
+    )
 
     def __init__(self, send: Send) -> None:
         """Start without usage.
@@ -41,6 +51,7 @@
         """Forget the usage; called while this source does not lead."""
         now = boot_seconds()
         self._usage = SubtreeUsage(now)
+        self._stepped_at = now
         self._control: AccountControl | None = None
 
     def attach(self, keeper: str, domain: str) -> None:
@@ -61,6 +72,8 @@
     def step(self, active: Snapshot) -> None:
         """Send the shares that have changed; called at short intervals.
 
+        Does nothing within `STEP_S` of the last time.
+
         Args:
             active: the active configuration.
         """
@@ -74,6 +87,9 @@
         if not self._accounts:
             return
         now = boot_seconds()
+        if now - self._stepped_at < STEP_S:
+            return
+        self._stepped_at = now
         if self._control is None:
             self._control = AccountControl(now)
         shares = self._control.step(self._accounts, self._usage, now)
--- a/medlarhoist/source/distributor.py
+++ b/medlarhoist/source/distributor.py
@@ -82,6 +82,8 @@
         staged: the staged version, zero for none.
         domains: progress of each failure domain; valid on the leader only.
         traffic: messages sent and received on the control address.
+        account_shares: fractions of their rates that all nodes together may
+            use, of the accounts near their limits; valid on the leader only.
     """
 
     is_leader: bool
@@ -89,6 +91,7 @@
     staged: int
     domains: tuple[DomainStatus, ...]
     traffic: TrafficView
+    account_shares: dict[str, float]
 
 
 class Distributor:
@@ -177,6 +180,7 @@
             staged=state.staged.snapshot.version if state.staged else 0,
             domains=self.status(),
             traffic=self.traffic.view(),
+            account_shares=self._children.account_limits.shares(),
         )
 
     def _domain_status(self, domain: str, view: DomainView) -> DomainStatus:
