--- a/medlarhoist/node/downlink.py
+++ b/medlarhoist/node/downlink.py
@@ -7,15 +7,18 @@
 
 import time
 from collections.abc import Callable
+from functools import partial
 from random import Random
 from typing import Any, Final
 
 from loguru import logger
+from msgspec.structs import replace
 
 from medlarhoist.core.evidence import EvidenceRow
 from medlarhoist.core.floor import epoch_of
 from medlarhoist.core.settings import NodeSettings
 from medlarhoist.core.tree import choose_redirect, may_admit, rank_of
+from medlarhoist.node.account_limits import AccountLimits
 from medlarhoist.node.configuration import Configuration
 from medlarhoist.node.join import Directory
 from medlarhoist.node.keeper import Keeper
@@ -30,7 +33,7 @@
 )
 from medlarhoist.wire.procedures import ATTACH
 from medlarhoist.wire.rpc import Method, StreamHandler
-from medlarhoist.wire.session import Session, serve_session
+from medlarhoist.wire.session import Session, send_to_child, serve_session
 
 MAX_ROWS: Final = 4096
 MS_PER_SECOND: Final = 1000
@@ -40,6 +43,7 @@
     """The attached children of one node.
 
     Args:
+        account_limits: is told of the children and the usage they report.
         initial_messages: returns further messages to send to a new child.
         rows: evidence that the children have reported, not sent on yet; at
             most the latest `MAX_ROWS`.
@@ -55,6 +59,7 @@
         '_keeper',
         '_on_change',
         '_random',
+        'account_limits',
         'initial_messages',
         'rows',
         'seconds_since_leader',
@@ -78,6 +83,9 @@
         self._random = random
         self.rows: list[EvidenceRow] = []
         self.sessions: dict[str, Session] = {}
+        self.account_limits = AccountLimits(
+            cfg.name, random, partial(send_to_child, self.sessions)
+        )
         self.initial_messages: Callable[[], tuple[DownMessage, ...]] = tuple
         self.seconds_since_leader: Callable[[], float] = float
 
@@ -103,10 +111,15 @@
 
     def send_established(self) -> None:
         """Announce the established version to every child."""
-        self.broadcast(self.established())
+        told = self.established()
+        for session in self.sessions.values():
+            session.send(_add_contact(told, self._configuration, session))
 
     def established(self) -> Established:
-        """Return the message that tells the established version."""
+        """Return the message that tells the established version.
+
+        It has no contact, which is another one for each child.
+        """
         version = self._configuration.established
         acceptance = self._configuration.acceptance
         return Established(
@@ -174,6 +187,7 @@
             previous.closed.set()
         self.sessions[hello.node] = session
         logger.debug('tree: child {} attached', hello.node)
+        self.account_limits.attach(hello.node)
         self._send_initial(session)
         self._on_change()
         return True
@@ -183,7 +197,8 @@
         established = self._configuration.established
         if session.delta_base.version < established:
             self._offer(session, established)
-        session.send(self.established())
+        told = self.established()
+        session.send(_add_contact(told, self._configuration, session))
         staged = self._configuration.staged
         if staged:
             self._offer(session, staged)
@@ -193,6 +208,8 @@
     def _receive(self, session: Session, message: UpMessage) -> None:
         if isinstance(message, Hello):
             self._send_initial(session)
+        usage = message.usage if isinstance(message, Report) else ()
+        self.account_limits.record(session.name, usage)
         if isinstance(message, Report):
             self.rows.extend(message.rows)
             self.rows = self.rows[-MAX_ROWS:]
@@ -201,6 +218,7 @@
     def _end(self, session: Session) -> None:
         if self.sessions.get(session.name) is session:
             self.sessions.pop(session.name)
+            self.account_limits.detach(session.name)
             logger.debug('tree: child {} detached', session.name)
             self._on_change()
 
@@ -212,6 +230,13 @@
             session.send_stage(stage, history.digest(version))
 
 
+def _add_contact(
+    told: Established, configuration: Configuration, session: Session
+) -> Established:
+    contact = configuration.confirmations.contact_for(session.anchor)
+    return replace(told, contact=contact)
+
+
 def _ignore() -> None:
     """Ignore a change."""
 
--- a/medlarhoist/node/metrics.py
+++ b/medlarhoist/node/metrics.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from medlarhoist.core.latency import Latencies
+from medlarhoist.node.account_limits import AccountLimitsView
 from medlarhoist.node.lag_monitor import LagView
 from medlarhoist.node.proxy.proxy import ProxyDump
 from medlarhoist.node.recorder import Totals
@@ -120,6 +121,30 @@
     doc='Calls refused as their request crashes targets, or may do so.',
     family=Family.COUNTER,
 )
+ACCOUNT_REFUSALS: Final = Metric(
+    name='account_limit_refusals_total',
+    doc='Calls refused beyond the limit of their account; 64 accounts by name.',
+    family=Family.COUNTER,
+)
+ACCOUNT_SHARES: Final = Metric(
+    name='account_shares',
+    doc='Accounts whose rate is divided among the nodes.',
+)
+ACCOUNT_CALLS: Final = Metric(
+    name='account_calls_total',
+    doc='Calls by client account; an empty name counts those past a bound.',
+    family=Family.COUNTER,
+)
+UNKNOWN_KEYS: Final = Metric(
+    name='unknown_keys_total',
+    doc='Calls refused with 401, as they carried no known key.',
+    family=Family.COUNTER,
+)
+UNCONFIRMED: Final = Metric(
+    name='unconfirmed_calls_total',
+    doc='Calls refused as their keys may have been withdrawn unnoticed.',
+    family=Family.COUNTER,
+)
 ENDED_WITH_TARGET: Final = Metric(
     name='requests_ended_with_target_total',
     doc='Requests in progress when a run of the target of this VM ended.',
@@ -169,6 +194,11 @@
     COLD_REFUSALS,
     SUSPECT_REQUESTS,
     QUARANTINE_REFUSALS,
+    ACCOUNT_REFUSALS,
+    ACCOUNT_SHARES,
+    ACCOUNT_CALLS,
+    UNKNOWN_KEYS,
+    UNCONFIRMED,
     ENDED_WITH_TARGET,
     CONNECTIONS,
     DOMAIN_MEMBERS,
@@ -210,6 +240,7 @@
     traffic = distribution.traffic
     yield from _list_volumes('sent', traffic.sent)
     yield from _list_volumes('received', traffic.received)
+    yield from _list_account_limits(distribution.account_limits)
     yield from _list_proxy(proxy)
     for total in totals:
         yield from _list_calls(total)
@@ -224,6 +255,13 @@
     yield Sample(metric=LAG_SUM, number=lag.total_seconds)
 
 
+def _list_account_limits(limits: AccountLimitsView) -> Iterator[Sample]:
+    yield Sample(metric=ACCOUNT_SHARES, number=len(limits.shares))
+    for account, count in limits.refused.items():
+        labels = {'account': account}
+        yield Sample(metric=ACCOUNT_REFUSALS, number=count, labels=labels)
+
+
 def _list_proxy(proxy: ProxyDump) -> Iterator[Sample]:
     for metric, number in (
         (CALL_RETRIES, proxy.retries),
@@ -242,9 +280,14 @@
         (COLD_STARTS, proxy.cold_starts),
         (COLD_REFUSALS, proxy.cold_refusals),
         (QUARANTINE_REFUSALS, proxy.quarantine_refusals),
+        (UNKNOWN_KEYS, proxy.unknown_keys),
+        (UNCONFIRMED, proxy.unconfirmed),
         (ENDED_WITH_TARGET, proxy.target_deaths),
     ):
         yield Sample(metric=metric, number=number)
+    for account, count in proxy.account_calls.items():
+        labels = {'account': account}
+        yield Sample(metric=ACCOUNT_CALLS, number=count, labels=labels)
     suspects = [record for record in proxy.quarantine if record.deaths]
     quarantined = sum(record.is_quarantined for record in suspects)
     for state, count in (
--- a/medlarhoist/node/proxy/call_attempts.py
+++ b/medlarhoist/node/proxy/call_attempts.py
@@ -282,6 +282,7 @@
             need=call.build_requirements(target.domain != self._parts.domain),
             condition=view.condition,
             suspicion=call.suspicion,
+            account=call.account.name if call.account else '',
         )
         if target.address == self._parts.peer_address:
             outcome = await self._parts.local.send(call.request, forwarded)
--- a/medlarhoist/node/proxy/factory.py
+++ b/medlarhoist/node/proxy/factory.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from medlarhoist.core.balance import NodeLocation
+from medlarhoist.core.confirmation import lease_seconds
 from medlarhoist.core.fingerprint import make_fingerprint_key
 from medlarhoist.core.header_names import DEFAULT_HEADER_NAMES, HeaderNames
 from medlarhoist.core.interfaces import CallRecorder, Registry, ShareLimiter
@@ -12,6 +13,7 @@
 from medlarhoist.core.quarantine import Quarantine
 from medlarhoist.core.resource import Service
 from medlarhoist.core.settings import NodeSettings
+from medlarhoist.node.proxy.account_gate import AccountGate
 from medlarhoist.node.proxy.call_suspicion import CallSuspicions
 from medlarhoist.node.proxy.local import LocalTarget
 from medlarhoist.node.proxy.observer import Observer
@@ -85,6 +87,12 @@
         remote=RemoteNodes(cfg.name, cfg.domain, key, time.time),
         observer=Observer(selector, recorder),
         suspicions=CallSuspicions(fingerprint_key, quarantine),
+        accounts=AccountGate(
+            header_names,
+            local.running,
+            configuration.confirmations,
+            lease_seconds(cfg.revocation_ms),
+        ),
     )
     peer_service = PeerService(
         local, cfg.domain, key, time.time, selector.drains
--- a/medlarhoist/node/proxy/local.py
+++ b/medlarhoist/node/proxy/local.py
@@ -36,6 +36,7 @@
 from medlarhoist.node.proxy.forwarded import ForwardedCall
 from medlarhoist.node.proxy.pool import ConnectionPool, send_request
 from medlarhoist.node.proxy.response import Response
+from medlarhoist.node.proxy.running import RunningRequests
 from medlarhoist.node.proxy.slots import Slots
 from medlarhoist.node.proxy.suspects import SuspectRun, TargetSuspects
 from medlarhoist.node.proxy.target_headers import add_target_headers
@@ -55,6 +56,7 @@
         refused_by_drain: those refused as the failure domain is drained.
         refused_cold: those of them that a cold target had no turn for.
         cold: whether the target is cold.
+        running: the requests that the target is processing.
         on_leaving: called with the key of a run that states that it leaves.
         stated: what the present run of the target has stated of itself.
         suspects: the requests that are suspected to crash the target.
@@ -68,7 +70,6 @@
         '_no_calls_reason',
         '_pool',
         '_rng',
-        '_running',
         '_slots',
         'cold',
         'malformed',
@@ -77,6 +78,7 @@
         'refused',
         'refused_by_drain',
         'refused_cold',
+        'running',
         'stated',
         'suspects',
     )
@@ -103,7 +105,7 @@
         self._find_service = find_service
         self._notice: TargetNotice | None = None
         self._pool = ConnectionPool('', self._count_malformed)
-        self._running: set[str] = set()
+        self.running = RunningRequests()
         self._slots = Slots(self._count_slots)
         # Why all calls are refused, empty while they are not.
         self._no_calls_reason = ''
@@ -132,7 +134,7 @@
         Args:
             caller_id: the caller's id of the request; empty for no request.
         """
-        return bool(caller_id) and caller_id in self._running
+        return caller_id in self.running
 
     def set_notice(self, notice: TargetNotice | None) -> None:
         """Update to the target's own notice of its address and phase.
@@ -228,16 +230,17 @@
         run_key = self.stated.run_key
         run_id = self._notice.run_id if self._notice else ''
         sent = add_target_headers(request, call, self._header_names, run_id)
-        self._running.add(request.caller_id)
+        self.running.add(request.caller_id, call.account, call.deadline)
         try:
             outcome = await send_request(self._pool, sent)
         except BaseException:
             self._slots.release_later()
             self.suspects.end(run)
+            self.running.end(request.caller_id, is_lost=True)
             raise
-        finally:
-            # Nested calls are made before the response, not after it.
-            self._running.discard(request.caller_id)
+        # Nested calls are made before the response, not after it.
+        is_lost = isinstance(outcome, Failure)
+        self.running.end(request.caller_id, is_lost=is_lost)
         if isinstance(outcome, Failure):
             if outcome.is_unreachable and not self._pool.is_full:
                 self.cold.presume()
--- a/medlarhoist/node/proxy/parts.py
+++ b/medlarhoist/node/proxy/parts.py
@@ -5,7 +5,9 @@
 from msgspec import Struct, field
 
 from medlarhoist.core.compile import Compiled
+from medlarhoist.core.confirmation import Confirmations
 from medlarhoist.core.header_names import HeaderNames
+from medlarhoist.node.proxy.account_gate import AccountGate
 from medlarhoist.node.proxy.call_suspicion import CallSuspicions
 from medlarhoist.node.proxy.local import LocalTarget
 from medlarhoist.node.proxy.observer import Observer
@@ -14,7 +16,13 @@
 
 
 class ConfigurationView(Protocol):
-    """The configuration in force at this node."""
+    """The configuration in force at this node.
+
+    Attributes:
+        confirmations: when its versions were known to be the newest.
+    """
+
+    confirmations: Confirmations
 
     @property
     def active(self) -> Compiled | None:
@@ -39,6 +47,7 @@
         remote: the targets beside other nodes.
         observer: records how attempts and calls ended.
         suspicions: finds the requests that are suspected to crash targets.
+        accounts: finds the client accounts of calls.
     """
 
     name: str
@@ -52,3 +61,4 @@
     remote: RemoteNodes
     observer: Observer
     suspicions: CallSuspicions
+    accounts: AccountGate
--- a/medlarhoist/node/uplink_receiver.py
+++ b/medlarhoist/node/uplink_receiver.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from loguru import logger
+from msgspec.structs import replace
 
 from medlarhoist.core.command import KeeperSet
 from medlarhoist.core.evidence import EvidenceRow, merge_rows
@@ -20,6 +21,7 @@
 from medlarhoist.node.downlink import Downlink
 from medlarhoist.node.join import Directory
 from medlarhoist.node.keeper import Keeper
+from medlarhoist.utils.clock import boot_seconds
 from medlarhoist.wire.acks import is_complete, sum_acks
 from medlarhoist.wire.message import (
     Abandoned,
@@ -31,6 +33,7 @@
     Hello,
     Keepers,
     Report,
+    Shares,
     Stage,
 )
 
@@ -75,7 +78,7 @@
         self._on_ages: Callable[[dict[str, int]], None] = _ignore_ages
         self._on_summary: Callable[[Summary], bool] = _ignore_summary
         self._behind_since: float = 0
-        self._leader_contact_at = time.monotonic()
+        self._leader_contact_at = boot_seconds()
         self._reported_at: float = 0
 
     def on_summary(
@@ -107,19 +110,18 @@
             self._evaluate_parent(message)
             return self.establish(message)
         if isinstance(message, Activated):
-            self._leader_contact_at = time.monotonic()
-            self._record_acceptance(message)
+            self._leader_contact_at = boot_seconds()
+            _record_times(self._configuration, self._downlink, message)
             return not self._keeper.activate(message.version, message.epoch)
-        if isinstance(message, Abandoned):
+        if isinstance(message, Shares):
+            self._downlink.account_limits.receive(message)
+        elif isinstance(message, Abandoned):
             self._configuration.abandon(message.version)
             self._downlink.broadcast(message)
         elif isinstance(message, Keepers):
             self._directory.adopt(message.sets)
-        elif isinstance(message, Summary) and self._on_summary(message):
-            self._downlink.broadcast(message)
-        elif isinstance(message, Ages):
-            self._on_ages(message.ages_ms)
-            self._downlink.broadcast(message)
+        else:
+            self._receive_summary(message)
         return False
 
     def seconds_since_leader(self) -> float:
@@ -128,7 +130,7 @@
         The leader of the sources sends to the keepers only; other nodes read
         the age of that contact from the heartbeats of their parents.
         """
-        return time.monotonic() - self._leader_contact_at
+        return boot_seconds() - self._leader_contact_at
 
     def reset_parent(self) -> None:
         """Evaluate a new parent by its own messages only."""
@@ -172,6 +174,7 @@
             schema=SCHEMA,
             whole=full,
             ready=self._keeper.ready,
+            sent_ms=find_sent_ms(self._cfg),
         )
 
     def is_complete(self) -> bool:
@@ -192,20 +195,20 @@
         ]
 
     def reports(self) -> list[Report]:
-        """Return the evidence of the subtree since the last report.
+        """Return evidence and usage of the subtree since the last report.
 
-        It is empty if there is none, or within `REPORT_SECONDS` of the last
-        report. What is returned is discarded here.
+        There is no evidence within `REPORT_SECONDS` of the last one. What is
+        returned is discarded here.
         """
+        usage = self._downlink.account_limits.report()
+        rows: tuple[EvidenceRow, ...] = ()
         now = time.monotonic()
-        if now - self._reported_at < REPORT_SECONDS:
+        if now - self._reported_at >= REPORT_SECONDS:
+            self._reported_at = now
+            rows = (*self._evidence.drain(), *self._downlink.pop_rows())
+        if not rows and not usage:
             return []
-        self._reported_at = now
-        rows: tuple[EvidenceRow, ...] = (
-            *self._evidence.drain(),
-            *self._downlink.pop_rows(),
-        )
-        return [Report(rows=merge_rows(rows))] if rows else []
+        return [Report(rows=merge_rows(rows), usage=usage)]
 
     def _local_ack(self, version: int) -> Ack:
         holds = self._configuration.holds(version)
@@ -224,14 +227,17 @@
             ready=self._keeper.ready,
         )
 
-    def _record_acceptance(self, message: Activated | Established) -> None:
-        self._configuration.acceptance.record(
-            message.version, message.since_ms, time.monotonic()
-        )
+    def _receive_summary(self, message: DownMessage) -> None:
+        """Apply a message on the targets of other domains."""
+        if isinstance(message, Summary) and self._on_summary(message):
+            self._downlink.broadcast(message)
+        elif isinstance(message, Ages):
+            self._on_ages(message.ages_ms)
+            self._downlink.broadcast(message)
 
     def _evaluate_parent(self, message: Established) -> None:
         now = time.monotonic()
-        contact_at = now - message.age_ms / MS_PER_SECOND
+        contact_at = boot_seconds() - message.age_ms / MS_PER_SECOND
         self._leader_contact_at = max(self._leader_contact_at, contact_at)
         floor = self._configuration.floor or 0
         if message.version >= max(floor, self._configuration.established):
@@ -265,15 +271,44 @@
         Returns:
             Whether the version must be staged first.
         """
-        self._record_acceptance(message)
+        _record_times(self._configuration, self._downlink, message)
         before = self._configuration.established
         if not self._configuration.establish(message.version):
             return True
         if self._configuration.established > before:
-            self._downlink.broadcast(message)
+            # The contact of the message is in this node's time.
+            self._downlink.broadcast(replace(message, contact=None))
         return False
 
 
+def _record_times(
+    configuration: Configuration,
+    downlink: Downlink,
+    message: Activated | Established,
+) -> None:
+    """Record when a version was accepted, and known to be the newest.
+
+    A later contact is passed on at once: waiting for the heartbeat of each
+    node on its way would make it old.
+    """
+    configuration.acceptance.record(
+        message.version, message.since_ms, time.monotonic()
+    )
+    contact = message.contact
+    if contact is not None and configuration.confirmations.record(contact):
+        downlink.send_established()
+
+
+def find_sent_ms(cfg: NodeSettings) -> int:
+    """Return the time that a message to the parent is sent with.
+
+    Milliseconds of boot_seconds, zero if the node needs no contacts.
+    """
+    if not cfg.revocation_ms:
+        return 0
+    return int(boot_seconds() * MS_PER_SECOND)
+
+
 def _ignore_ages(ages_ms: dict[str, int]) -> None:
     """Ignore ages."""
 
