Await no notice where there is no target

Cause: a target that had left was presumed to be cold 1.5 s later, logged and counted as if it were there.

Change: without a target no notice is awaited.

Result: tests of cold_test.py and proxy_test.py pass.

--- a/medlarhoist/node/proxy/local.py
+++ b/medlarhoist/node/proxy/local.py
@@ -142,6 +142,7 @@
         if notice is None or notice.phase is not TargetPhase.READY:
             self._slots.refuse_waiters()
         if notice is None:
+            self.cold.stop()
             return
         self.suspects.address = notice.address
         self.stated.start_run(notice.run_key)
