Tell targets that reset connections when full from faulty ones

Cause: a target that is full may reset a connection as it accepts it. That counted as a failure of the target (five eject it for 5 s), kept its request as a possible suspect for 3 s, held a slot for 50 ms, and the next call was sent into the same full target.

Change: a new connection that is reset within 20 ms, while the target runs other requests and has not ended, shows that it is full. Its node limits its slots to what it ran, one more each 0.5 s until all are used, and reports the load; entry nodes treat it as full. The request may have run, so a retry still spends the budget. A suspected loss is forgotten when another request completes that was in progress across it.

--- a/medlarhoist/node/proxy/local.py
+++ b/medlarhoist/node/proxy/local.py
@@ -140,6 +140,7 @@
         self.stated.start_run(notice.run_key)
         if before is None or not is_same_run(before, notice):
             self.suspects.start_run()
+            self._slots.reset_limit.clear()
             self._echoes_ids = False
             self._pool.close_idle()
             self._pool = ConnectionPool(
@@ -222,8 +223,11 @@
             # Nested calls are made before the response, not after it.
             self._running.discard(request.caller_id)
         if isinstance(outcome, Failure):
-            _release_after(self._slots, outcome)
-            return await self.suspects.handle_failure(outcome, run)
+            is_full = _release_after(self._slots, outcome)
+            failure = await self.suspects.handle_failure(outcome, run)
+            if is_full and failure.suspicion is None:
+                return structs.replace(failure, load=self.load)
+            return failure
         response = outcome
 
         def finish(is_whole: bool) -> None:  # noqa: WPS430
@@ -372,12 +376,19 @@
     return structs.replace(request, headers=headers)
 
 
-def _release_after(slots: Slots, failure: Failure) -> None:
-    """Release a slot, later if the target may still use it."""
+def _release_after(slots: Slots, failure: Failure) -> bool:
+    """Release a slot, later if the target may still use it.
+
+    Returns:
+        Whether the failure shows that the target is full, unless it has ended.
+    """
     if failure.verdict is Verdict.DID_NOT_RUN:
         slots.release()
+    elif failure.is_reset:
+        return slots.release_reset()
     else:
         slots.release_later()
+    return False
 
 
 def _ignore(run_key: str) -> None:
--- a/medlarhoist/node/proxy/slots.py
+++ b/medlarhoist/node/proxy/slots.py
@@ -24,6 +24,7 @@
     queue_key,
 )
 from medlarhoist.core.rate_limit import RateLimiter
+from medlarhoist.core.reset_limit import ResetLimit
 
 CANCEL_HOLD_S: Final = 0.05
 _SMOOTHING: Final = 0.1
@@ -56,6 +57,7 @@
     Args:
         used: slots in use.
         peak: highest number of slots ever in use at once.
+        reset_limit: limits the slots of a target that was full.
     """
 
     __slots__ = (
@@ -67,6 +69,7 @@
         '_timer',
         '_waiters',
         'peak',
+        'reset_limit',
         'used',
     )
 
@@ -77,8 +80,13 @@
             count: returns the present number of slots.
         """
         self._mean_s = INITIAL_BUSY_S
-        self._count = count
+
+        def count_usable() -> int:  # noqa: WPS430
+            return self.reset_limit.restrict(count(), time.monotonic())
+
+        self._count = count_usable
         self._limiter = RateLimiter()
+        self.reset_limit = ResetLimit()
         self._sample_count = 0
         self._timer: asyncio.TimerHandle | None = None
         self._class_mean_s: dict[tuple[bool, int], float] = {}
@@ -146,6 +154,23 @@
         loop = asyncio.get_running_loop()
         loop.call_later(CANCEL_HOLD_S, self.release)
 
+    def release_reset(self) -> bool:
+        """Free the slot of a request whose new connection was reset.
+
+        A target that does so while it runs other requests is full, and its
+        slots are limited to those.
+
+        Returns:
+            Whether it is full.
+        """
+        others = self.used - 1
+        if others:
+            self.reset_limit.record_reset(others, time.monotonic())
+            self.release()
+        else:
+            self.release_later()
+        return bool(others)
+
     def finish(
         self,
         requirements: CallRequirements,
--- a/medlarhoist/node/proxy/suspects.py
+++ b/medlarhoist/node/proxy/suspects.py
@@ -25,6 +25,8 @@
 NEXT_RUN_S: Final = 3.0
 MAX_LOSSES: Final = 256
 # A suspect usually completes in this time, and is cleared then.
+# A response that arrives this long after a loss was sent after it.
+SURVIVAL_S: Final = 0.05
 SUSPECT_RETRY_S: Final = 0.3
 _MS_PER_SECOND: Final = 1000
 
@@ -35,10 +37,12 @@
     Args:
         request: the request.
         known: what was known of it when it began, None if it was no suspect.
+        began: when it began, seconds of the monotonic clock.
     """
 
     request: Request
     known: Suspicion | None
+    began: float
 
 
 class Loss(Struct, frozen=True):
@@ -149,22 +153,22 @@
         return run
 
     async def _begin(self, request: Request) -> SuspectRun | None:
+        now = time.monotonic()
         if not self.quarantine.entries:
-            return SuspectRun(request, None)
+            return SuspectRun(request, None, now)
         await request.body.await_prefix()
         record = self._find(request)
         if record is None:
-            return SuspectRun(request, None)
+            return SuspectRun(request, None, now)
         if self._runs.find_refusal_reason(record):
             return None
         if record.is_quarantined:
-            now = time.monotonic()
             record = self.quarantine.begin_trial(record.fingerprint, now)
             logger.bind(
                 request=request.caller_id, fingerprint=record.fingerprint
             ).warning('quarantine: a request runs for a trial')
         self._runs.begin(record)
-        return SuspectRun(request, record)
+        return SuspectRun(request, record, now)
 
     def end(self, run: SuspectRun, *, has_completed: bool = False) -> None:
         """Record that a request does not run any more.
@@ -178,6 +182,8 @@
             self._runs.end(run.known.fingerprint)
             self._next_end.set()
             self._next_end = asyncio.Event()
+        if has_completed and self._losses:
+            self._forget_survived(run)
         if not has_completed or not self.quarantine.entries:
             return
         # Another run of it may have made it a suspect meanwhile.
@@ -229,6 +235,19 @@
             if loss.at > limit:
                 self._record_death(loss)
 
+    def _forget_survived(self, run: SuspectRun) -> None:
+        """Forget the losses that a run of a request has outlived.
+
+        They did not come from the end of the target. One that is full resets
+        connections as well.
+        """
+        survived_at = time.monotonic() - SURVIVAL_S
+        self._losses = [
+            loss
+            for loss in self._losses
+            if not run.began < loss.at < survived_at
+        ]
+
     def _find(self, request: Request) -> Suspicion | None:
         """Return what is known of a request, None if it is no suspect."""
         if not self.quarantine.entries:
