--- a/medlarhoist/node/proxy/local.py
+++ b/medlarhoist/node/proxy/local.py
@@ -158,6 +158,7 @@
         self.cold.set_notice(notice, is_new_run=is_new_run)
         if is_new_run:
             self.suspects.start_run()
+            self._slots.reset_limit.clear()
             self._echoes_ids = False
             self._pool.close_idle()
             self._pool = ConnectionPool(
@@ -243,10 +244,13 @@
         is_lost = isinstance(outcome, Failure)
         self.running.end(request.caller_id, is_lost=is_lost)
         if isinstance(outcome, Failure):
-            if outcome.is_unreachable and not self._pool.is_full:
+            is_full = _release_after(self._slots, outcome)
+            if outcome.is_unreachable and not (self._pool.is_full or is_full):
                 self.cold.presume()
-            _release_after(self._slots, outcome)
-            return await self.suspects.handle_failure(outcome, run)
+            failure = await self.suspects.handle_failure(outcome, run)
+            if is_full and failure.suspicion is None:
+                return structs.replace(failure, load=self.load)
+            return failure
         response = outcome
 
         def finish(is_whole: bool) -> None:  # noqa: WPS430
@@ -384,12 +388,19 @@
     return 'over the limit of the target' if load.delay_s else 'no slot'
 
 
-def _release_after(slots: Slots, failure: Failure) -> None:
-    """Release a slot, later if the target may still use it."""
+def _release_after(slots: Slots, failure: Failure) -> bool:
+    """Release a slot, later if the target may still use it.
+
+    Returns:
+        Whether the failure shows that the target is full, unless it has ended.
+    """
     if failure.verdict is Verdict.DID_NOT_RUN:
         slots.release()
+    elif failure.is_reset:
+        return slots.release_reset()
     else:
         slots.release_later()
+    return False
 
 
 def _ignore(run_key: str) -> None:
