Test withdrawn keys with real processes

Cause: nothing showed that a paused process, or one that lost all sources, stops in time, nor that the leader's own statement of its majority is right.

A test that an entry in Connection had let pass then is stricter now.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -56,9 +56,18 @@
         processes: started processes by name; `kill` and `stop` remove theirs.
         sources: addresses of the sources by name, started or not.
         nodes: addresses of the nodes by name, started or not.
+        node_options: further settings of the nodes that are started.
     """
 
-    __slots__ = ('_logs', 'folder', 'nodes', 'ports', 'processes', 'sources')
+    __slots__ = (
+        '_logs',
+        'folder',
+        'node_options',
+        'nodes',
+        'ports',
+        'processes',
+        'sources',
+    )
 
     def __init__(self, folder: Path) -> None:
         """Create an empty fleet; the caller removes the folder at the end."""
@@ -67,6 +76,7 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.sources: dict[str, SourceAddresses] = {}
         self.nodes: dict[str, NodeAddresses] = {}
+        self.node_options: dict[str, Any] = {}
         self._logs: list[Any] = []
 
     def plan_sources(self, domains: tuple[str, ...]) -> None:
@@ -131,6 +141,7 @@
                 'entry': node.entry,
                 'peer': node.peer,
                 'seeds': self._seeds(node.domain),
+                **self.node_options,
             },
         )
 
--- a/medlarhoist/node/proxy/accounts_test.py
+++ b/medlarhoist/node/proxy/accounts_test.py
@@ -62,9 +62,10 @@
     ]
 
 
+@pytest.mark.parametrize('listed', ['close', 'x-account, authorization'])
 @pytest.mark.parametrize('is_remote', [False, True])
 def test_a_target_sees_the_name_and_never_the_key(
-    run_mesh, record, heads, is_remote
+    run_mesh, record, heads, is_remote, listed
 ):
     async def scenario(mesh: Mesh):
         if is_remote:
@@ -74,7 +75,7 @@
             'AUTHORIZATION:  token  k-1',
             'X-Account: other',
             'X-Medlarhoist-Account: other',
-            'Connection: x-account, authorization',
+            f'Connection: {listed}',
         )
         return await mesh.get(lines=lines)
 
--- a/medlarhoist/source/ledger_test.py
+++ b/medlarhoist/source/ledger_test.py
@@ -14,6 +14,7 @@
 from medlarhoist.core.state import State
 from medlarhoist.source.ledger import create_ledger
 from medlarhoist.source.ledger_driver import StorageDamaged
+from medlarhoist.utils.clock import boot_seconds
 from medlarhoist.wire.rpc import create_server, create_service
 
 KEY = 'a shared key for tests'
@@ -208,6 +209,27 @@
     run_group(scenario)
 
 
+def test_a_leader_knows_when_a_majority_last_followed_it(run_group):
+    """Nodes serve keys by that moment, so it must never be too late."""
+
+    async def scenario(group):
+        leader = await group.leader()
+        others = set(group.names) - {leader.leader}
+        assert all(group.ledgers[name].led_at is None for name in others)
+        began = boot_seconds()
+        await until(lambda: (leader.led_at or 0) > began)
+        assert leader.led_at <= boot_seconds()
+        for name in others:
+            await group.stop(name)
+        stopped_at = boot_seconds()
+        while leader.is_leader:
+            assert (leader.led_at or 0) <= stopped_at
+            await asyncio.sleep(0.02)
+        assert leader.led_at is None
+
+    run_group(scenario)
+
+
 def test_a_source_with_a_full_disk_refuses_writes_and_serves_reads(run_group):
     refusing = []
 
