Send calls with known and unknown keys in the soak

Cause: the soak of calls knew no keys.

Change: its calls carry the key of an account, and one more load an unknown key; no call of that may run. Contacts of up to 64 versions are kept, since a storm of changes could push out the only one that counts at a node that is behind.

--- a/bench/calls_soak.py
+++ b/bench/calls_soak.py
@@ -3,7 +3,7 @@
 Targets refuse, fail and slow down, connections are closed on every hop, and
 targets drain and become ready again, leave and are replaced, nodes restart, one
 target names a limit, and one request crashes each target that runs it, under
-load with mixed deadlines. At the end, the
+load with mixed deadlines. Some calls carry an unknown key. At the end, the
 outcomes that callers received are compared with the requests that the targets
 recorded.
 """
@@ -21,6 +21,10 @@
 from msgspec import Struct, structs
 
 from bench.calls_mesh import Mesh
+from bench.calls_static import compile_sample
+from medlarhoist.core.accounts import digest_key
+from medlarhoist.core.compile import Compiled
+from medlarhoist.core.resource import Account
 from medlarhoist.core.target import TargetPhase
 from medlarhoist.standin.load import Plan, Summary, run_load
 from medlarhoist.standin.target_options import Fault
@@ -37,6 +41,9 @@
 DEADLINES_MS = (5, 40, 400, 3000)
 DEADLY_RATE = 8.0
 DOWN_S = 0.3
+KEY_LINE = 'Authorization: Token known'
+STRANGER = 'stranger'
+STRANGER_RATE = 20.0
 # Three runs show that a request crashes its targets; three more are allowed.
 MAX_CRASHES = 6
 
@@ -58,6 +65,7 @@
         errors: errors that the nodes logged.
         crashes: targets that one request has crashed.
         convicted: requests that are refused as they crash targets.
+        strangers: ids of requests that ran without a known key.
     """
 
     sent: int
@@ -71,6 +79,7 @@
     errors: int = 0
     crashes: int = 0
     convicted: int = 0
+    strangers: tuple[str, ...] = ()
 
     @property
     def is_passed(self) -> bool:
@@ -87,6 +96,7 @@
                 are_targets_heard,
                 is_within_slots,
                 is_contained,
+                not self.strangers,
             )
         )
 
@@ -189,7 +199,7 @@
                 structs.replace(
                     plan,
                     body_bytes=rng.choice((0, 10, 200_000)),
-                    headers=(f'X-Deadline-Ms: {deadline_ms}',),
+                    headers=(f'X-Deadline-Ms: {deadline_ms}', KEY_LINE),
                     prefix=f'within-{deadline_ms}',
                 ),
             ),
@@ -201,15 +211,29 @@
         rate=DEADLY_RATE,
         method='GET',
         paths=(CRASH_PATH,),
+        headers=(KEY_LINE,),
         prefix='deadly',
     )
-    return [*loads, start_task(run_load(deadly))]
+    strangers = structs.replace(
+        plan,
+        rate=STRANGER_RATE,
+        headers=('Authorization: Token unknown',),
+        prefix=STRANGER,
+    )
+    others = [start_task(run_load(other)) for other in (deadly, strangers)]
+    return [*loads, *others]
+
+
+def _compile_account() -> Compiled:
+    account = Account(name='studio', key_digests=(digest_key(b'known'),))
+    snapshot = structs.replace(compile_sample().snapshot, accounts=(account,))
+    return Compiled(snapshot, '')
 
 
 async def run_seed(seed: int, seconds: float) -> Verdicts:
     """Run the load with the faults of one seed and return the results."""
     rng = random.Random(seed)  # noqa: S311
-    mesh = Mesh()
+    mesh = Mesh(_compile_account())
     errors: list[str] = []
     sink = logger.add(errors.append, level='ERROR')
     for number in range(NODES):
@@ -281,6 +305,11 @@
         sum(load_summary.crossed for load_summary in summaries),
         max(target_record.peak for target_record in mesh.records),
         sum(target_record.after_leave for target_record in mesh.records),
+        strangers=tuple(
+            request_id
+            for request_id in runs_by_id
+            if request_id.startswith(STRANGER)
+        ),
     )
 
 
--- a/bench/calls_soak_test.py
+++ b/bench/calls_soak_test.py
@@ -33,6 +33,14 @@
     pytest.fail('no request ran twice')
 
 
+def test_the_soak_detects_requests_without_a_known_key(monkeypatch):
+    """Nodes take every account for one without keys."""
+    monkeypatch.setattr(
+        'medlarhoist.node.proxy.account_gate.has_accounts', lambda _: False
+    )
+    assert asyncio.run(run_seed(1, 1.0)).strangers
+
+
 def test_the_soak_detects_requests_above_a_limit(monkeypatch):
     """Nodes do not read the limit of a target."""
     monkeypatch.setattr(RateLimiter, 'set_rate', lambda *ignored: None)
--- a/medlarhoist/core/confirmation.py
+++ b/medlarhoist/core/confirmation.py
@@ -18,7 +18,7 @@
 
 from msgspec import Struct
 
-MAX_VERSIONS: Final = 8
+MAX_VERSIONS: Final = 64
 # Of the time within which a withdrawn key must be refused.
 LEASE_SHARE: Final = 0.9
 # From this share on a node looks for another way to the sources.
