Test the priority of accounts and of nested calls

Cause: nothing showed that an account's priority reaches the node of the target, nor that a nested call has the account of its parent.

Result: medlarhoist/node/proxy/accounts_test.py passes.

--- a/medlarhoist/node/proxy/accounts_test.py
+++ b/medlarhoist/node/proxy/accounts_test.py
@@ -13,6 +13,7 @@
 from medlarhoist.core.compile import Compiled
 from medlarhoist.core.header_names import DEFAULT_HEADER_NAMES
 from medlarhoist.core.resource import Account
+from medlarhoist.node.proxy.local import LocalTarget
 
 DONE = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone'
 FULL = b'HTTP/1.1 503 Full\r\nX-Did-Not-Run: 1\r\nContent-Length: 0\r\n\r\n'
@@ -180,7 +181,7 @@
 
 @pytest.mark.parametrize('is_remote', [False, True])
 def test_a_nested_call_needs_no_key_while_its_parent_runs(
-    run_mesh, serve_raw, heads, is_remote, use_nesting
+    run_mesh, serve_raw, heads, is_remote, use_nesting, admitted
 ):
     """The target's own call enters at the node beside it."""
     nested = []
@@ -207,6 +208,37 @@
     before, result = run_mesh(scenario, _compile_with(NAMED))
     assert (before.status, result.status, nested[0].status) == (401, 200, 200)
     assert [_seen(head, b'x-account') for head in heads] == [[b'studio'], []]
+    assert admitted == [('studio', 0), ('studio', 0)]
+
+
+@pytest.mark.parametrize(
+    ('path', 'priority', 'expected'),
+    [('/', 1, ('studio', 1)), ('/', None, ('studio', 3)), ('/short', 1, None)],
+)
+def test_the_priority_of_an_account_goes_before_that_of_the_route(
+    run_mesh, record, admitted, path, priority, expected
+):
+    async def scenario(mesh: Mesh):
+        await mesh.add(registered=False)
+        await mesh.add(port=await record())
+        await mesh.get(path=path, lines=(KEY,) if expected else ())
+
+    run_mesh(scenario, _compile_with(replace(NAMED, priority=priority)))
+    assert admitted == [expected or ('', 3)]
+
+
+@pytest.fixture(name='admitted')
+def _admitted(monkeypatch):
+    """Return account and priority of the calls that targets' nodes get."""
+    seen = []
+    send = LocalTarget.send
+
+    def send_and_record(local, request, call):
+        seen.append((call.account, call.need.priority))
+        return send(local, request, call)
+
+    monkeypatch.setattr(LocalTarget, 'send', send_and_record)
+    return seen
 
 
 @pytest.fixture(name='use_nesting')
