--- a/medlarhoist/core/account_limiter.py
+++ b/medlarhoist/core/account_limiter.py
@@ -52,6 +52,7 @@
         known_pace: that pace at the last contact with the leader; later
             requests may be unknown to it.
         contact_at: time of that contact.
+        promised_at: latest time at which a refused request was told to return.
         share: fraction of the limit, None if none is assigned.
     """
 
@@ -62,6 +63,7 @@
         'level',
         'offered',
         'pace',
+        'promised_at',
         'share',
         'updated_at',
     )
@@ -74,6 +76,7 @@
         self.pace = DecayingRate(PACE_S, now)
         self.known_pace = float()
         self.contact_at = -math.inf
+        self.promised_at = -math.inf
         self.share: float | None = None
 
     def record_contact(self, contact_at: float, now: float) -> None:
@@ -82,6 +85,17 @@
             self.contact_at = contact_at
             self.known_pace = self.pace.per_second(now)
 
+    def promise(self, rate: float, now: float) -> float:
+        """Return the seconds until the turn of a refused request.
+
+        Each refused request gets a later turn than those before it: of many
+        that return together all but one would be refused again.
+        """
+        earliest = now + (1 - self.level) / rate
+        turn = max(earliest, self.promised_at + 1 / rate)
+        self.promised_at = min(turn, now + MAX_DELAY_S)
+        return self.promised_at - now
+
     def refill(self, rate: float, depth: float, now: float) -> None:
         """Raise the level; a lower depth binds at once."""
         earned = rate * max(0, now - self.updated_at)
@@ -156,8 +170,7 @@
             entry.pace.add(1, now)
             return 0
         self.refused += 1
-        missing = 1 - entry.level
-        return min(MAX_DELAY_S, missing / rate) if rate else MAX_DELAY_S
+        return entry.promise(rate, now) if rate else MAX_DELAY_S
 
     def assign(self, shares: dict[str, float]) -> None:
         """Set the shares of this node by account, in place of all others."""
--- a/medlarhoist/core/account_subtree_test.py
+++ b/medlarhoist/core/account_subtree_test.py
@@ -8,7 +8,7 @@
 
 from pytest import approx, fixture
 
-from medlarhoist.core.account_limiter import AccountLimiter
+from medlarhoist.core.account_limiter import MAX_DELAY_S, AccountLimiter
 from medlarhoist.core.account_subtree import SubtreeUsage
 from medlarhoist.core.account_usage import PACE_MARGIN, UsageRow
 from medlarhoist.core.resource import Account
@@ -90,3 +90,14 @@
         assert not limiter.admit(SHOP, at / 10, 0.5)
     woken = [limiter.admit(SHOP, 70, 60) for _ in range(500)]
     assert 0 < woken.count(0) <= 1 + PACE_MARGIN * 10
+
+
+def test_refused_requests_are_told_to_return_one_after_another():
+    limiter = AccountLimiter(Random(1), 0)
+    slow = Account(name='shop', rate=10, burst=0)
+    delays = [limiter.admit(slow, 1, 0.5) for _ in range(40)]
+    refused = [delay for delay in delays if delay]
+    assert refused == sorted(refused)
+    assert refused[-1] - refused[0] == approx((len(refused) - 1) / 10)
+    later = [limiter.admit(slow, 1, 0.5) for _ in range(100)]
+    assert max(later) == MAX_DELAY_S
--- a/medlarhoist/node/account_limits.py
+++ b/medlarhoist/node/account_limits.py
@@ -6,9 +6,11 @@
 """
 
 from collections.abc import Callable, Iterable
+from math import inf
 from random import Random
 from typing import Final
 
+from loguru import logger
 from msgspec import Struct
 
 from medlarhoist.core.account_limiter import AccountLimiter
@@ -25,6 +27,8 @@
 REPORT_S: Final = 0.1
 # Bounds the metrics, whatever the number of accounts is.
 COUNTED_ACCOUNTS: Final = 64
+# Refusals of an account are logged again after this time without any.
+QUIET_S: Final = 5.0
 OTHER_ACCOUNTS: Final = 'other accounts'
 # Callers that were refused together do not return together.
 _SPREAD: Final = 0.5
@@ -68,6 +72,7 @@
         '_own_shares',
         '_random',
         '_refused',
+        '_refused_at',
         '_reported_at',
         '_send',
         '_shares',
@@ -94,6 +99,7 @@
         self._shares: dict[str, float] = {}
         self._own_shares: dict[str, float] = {}
         self._refused: dict[str, int] = {}
+        self._refused_at: dict[str, float] = {}
         self._is_used = False
         self._reported_at = now
         self.contact_age_s: Callable[[], float] = float
@@ -112,6 +118,7 @@
         delay_s = self._limiter.admit(account, boot_seconds(), age_s)
         if not delay_s:
             return 0
+        self._log_refusal(account, age_s)
         name = account.name
         if name not in self._refused:
             if len(self._refused) >= COUNTED_ACCOUNTS:
@@ -181,7 +188,27 @@
         for name in self._usage.silent():
             if not self.is_missing(name):
                 self._usage.forget(name)
-        self._usage.expire(boot_seconds())
+        now = boot_seconds()
+        self._usage.expire(now)
+        self._refused_at = {
+            account: at
+            for account, at in self._refused_at.items()
+            if now - at < QUIET_S
+        }
+
+    def _log_refusal(self, account: Account, age_s: float) -> None:
+        """Log the first refusal after a time without any."""
+        now = boot_seconds()
+        before = self._refused_at.get(account.name, -inf)
+        self._refused_at[account.name] = now
+        if now - before < QUIET_S:
+            return
+        logger.bind(
+            account=account.name,
+            rate=account.rate,
+            share=self._own_shares.get(account.name),
+            age_s=round(age_s, 2),
+        ).info('accounts: refuses requests beyond a limit')
 
     def view(self) -> AccountLimitsView:
         """Return the state for a dump."""
