Keep what a failed run shows in a module of its own

Change: the release of a slot after a failure, and what the failure shows of the target, move to node/proxy/failed_run.py.

--- a/medlarhoist/node/proxy/local.py
+++ b/medlarhoist/node/proxy/local.py
@@ -33,6 +33,10 @@
 from medlarhoist.node.proxy.attempt import Failure, Request
 from medlarhoist.node.proxy.call_log import log_limit, log_refusal
 from medlarhoist.node.proxy.cold_target import ColdTarget
+from medlarhoist.node.proxy.failed_run import (
+    settle_failed_run,
+    settle_lost_response,
+)
 from medlarhoist.node.proxy.forwarded import ForwardedCall
 from medlarhoist.node.proxy.pool import ConnectionPool, send_request
 from medlarhoist.node.proxy.response import Response
@@ -40,7 +44,6 @@
 from medlarhoist.node.proxy.slots import Slots
 from medlarhoist.node.proxy.suspects import SuspectRun, TargetSuspects
 from medlarhoist.node.proxy.target_headers import add_target_headers
-from medlarhoist.utils.tasks import start_task
 
 DOMAIN_IS_DRAINED: Final = 'failure domain is drained'
 _FindService = Callable[[str], Service | None]
@@ -244,13 +247,13 @@
         is_lost = isinstance(outcome, Failure)
         self.running.end(request.caller_id, is_lost=is_lost)
         if isinstance(outcome, Failure):
-            is_full = _release_after(self._slots, outcome)
-            if outcome.is_unreachable and not (self._pool.is_full or is_full):
-                self.cold.presume()
-            failure = await self.suspects.handle_failure(outcome, run)
-            if is_full and failure.suspicion is None:
-                return structs.replace(failure, load=self.load)
-            return failure
+            return await settle_failed_run(
+                outcome,
+                run,
+                self._slots,
+                self.suspects,
+                None if self._pool.is_full else self.cold,
+            )
         response = outcome
 
         def finish(is_whole: bool) -> None:  # noqa: WPS430
@@ -263,7 +266,7 @@
                 is_sample=status < SERVER_FAULT_STATUS,
             )
             if response.body.is_lost:
-                start_task(self.suspects.handle_loss(run))
+                settle_lost_response(self.suspects, run)
             else:
                 has_completed = is_whole and shows_completion(status)
                 self.suspects.end(run, has_completed=has_completed)
@@ -388,20 +391,5 @@
     return 'over the limit of the target' if load.delay_s else 'no slot'
 
 
-def _release_after(slots: Slots, failure: Failure) -> bool:
-    """Release a slot, later if the target may still use it.
-
-    Returns:
-        Whether the failure shows that the target is full, unless it has ended.
-    """
-    if failure.verdict is Verdict.DID_NOT_RUN:
-        slots.release()
-    elif failure.is_reset:
-        return slots.release_reset()
-    else:
-        slots.release_later()
-    return False
-
-
 def _ignore(run_key: str) -> None:
     """Ignore that a run leaves."""
--- a/medlarhoist/node/proxy/reset_test.py
+++ b/medlarhoist/node/proxy/reset_test.py
@@ -124,7 +124,7 @@
     async def scenario(mesh):
         async with open_full(mesh):
             consumed = []
-            mesh.nodes[0]._entry_service._budgets = SimpleNamespace(
+            mesh.nodes[0]._entry_service.attempts._budgets = SimpleNamespace(
                 add_call=lambda service: None,
                 try_consume=consumed.append,
             )
--- a/medlarhoist/node/proxy/slots.py
+++ b/medlarhoist/node/proxy/slots.py
@@ -174,23 +174,6 @@
         loop = asyncio.get_running_loop()
         loop.call_later(CANCEL_HOLD_S, self.release)
 
-    def release_reset(self) -> bool:
-        """Free the slot of a request whose new connection was reset.
-
-        A target that does so while it runs other requests is full, and its
-        slots are limited to those.
-
-        Returns:
-            Whether it is full.
-        """
-        others = self.used - 1
-        if others:
-            self.reset_limit.record_reset(others, time.monotonic())
-            self.release()
-        else:
-            self.release_later()
-        return bool(others)
-
     def finish(
         self,
         requirements: CallRequirements,
