Pass contacts with the leader on at once where limits are used

Below several parents the age of the last contact grows by up to a heartbeat interval each, so a healthy node would count as out of touch (1.5 s) and be held to its pace. A later contact is passed on at once where accounts have limits, as it is where keys have to be confirmed.

--- a/bench/account_limits_test.py
+++ b/bench/account_limits_test.py
@@ -11,6 +11,9 @@
 
 from bench.distribution_fleet import Fleet, run_fleet, wait_until
 from medlarhoist.core.resource import Account
+from medlarhoist.node import uplink_receiver
+from medlarhoist.node.downlink import Downlink
+from medlarhoist.wire.message import Established
 
 SHOP = Account(name='shop', rate=20, burst=5)
 LOAD_S = 5.0
@@ -98,3 +101,23 @@
             assert 'Shares' not in kinds
 
     asyncio.run(run_fleet(_create_fleet(), scenario))
+
+
+def test_a_contact_is_passed_on_at_once_where_limits_are_used(monkeypatch):
+    """Below several parents its age would pass the bound of a healthy node."""
+    times = iter(range(10, 100))
+    monkeypatch.setattr(uplink_receiver, 'boot_seconds', lambda: next(times))
+    sent = []
+    monkeypatch.setattr(
+        Downlink, 'send_established', lambda downlink: sent.append(downlink)
+    )
+    node = Fleet(sources=1, keepers=1).add_node('a', 0)
+    receiver = node.distribution._receiver
+    receiver.receive(Established(version=0, epoch=0))
+    assert not sent
+    node.distribution.account_limits.admit(SHOP)
+    receiver.receive(Established(version=0, epoch=0))
+    assert len(sent) == 1
+    # This one has the contact that is known.
+    receiver.receive(Established(version=0, epoch=0, age_ms=20_000))
+    assert len(sent) == 1
--- a/medlarhoist/core/account_limiter.py
+++ b/medlarhoist/core/account_limiter.py
@@ -104,11 +104,7 @@
 
 
 class AccountLimiter:
-    """Admits requests of the accounts that have a rate.
-
-    Args:
-        refused: requests that were refused since the start.
-    """
+    """Admits requests of the accounts that have a rate."""
 
     __slots__ = (
         '_collected_at',
@@ -116,7 +112,6 @@
         '_out_of_touch_at',
         '_random',
         '_shares',
-        'refused',
     )
 
     def __init__(self, random: Random, now: float) -> None:
@@ -132,7 +127,6 @@
         self._collected_at = now
         self._entries: dict[str, _Entry] = {}
         self._shares: dict[str, float] = {}
-        self.refused = 0
 
     def admit(self, account: Account, now: float, age_s: float) -> float:
         """Admit or refuse one request.
@@ -169,7 +163,6 @@
             entry.admitted += 1
             entry.pace.add(1, now)
             return 0
-        self.refused += 1
         return entry.promise(rate, now) if rate else MAX_DELAY_S
 
     def assign(self, shares: dict[str, float]) -> None:
--- a/medlarhoist/node/account_limits.py
+++ b/medlarhoist/node/account_limits.py
@@ -61,13 +61,14 @@
     Args:
         contact_age_s: returns the seconds since the last contact with the
             leader of the sources.
+        is_used: whether a node of the subtree has had requests of an account
+            with a rate, or a share.
         is_missing: returns whether a node, by name, is not reached by its
             domain.
     """
 
     __slots__ = (
         '_limiter',
-        '_is_used',
         '_name',
         '_own_shares',
         '_random',
@@ -78,6 +79,7 @@
         '_shares',
         '_usage',
         'contact_age_s',
+        'is_used',
         'is_missing',
     )
 
@@ -100,7 +102,7 @@
         self._own_shares: dict[str, float] = {}
         self._refused: dict[str, int] = {}
         self._refused_at: dict[str, float] = {}
-        self._is_used = False
+        self.is_used = False
         self._reported_at = now
         self.contact_age_s: Callable[[], float] = float
         self.is_missing: Callable[[str], bool] = bool
@@ -113,7 +115,7 @@
         """
         if not account.rate:
             return 0
-        self._is_used = True
+        self.is_used = True
         age_s = self.contact_age_s()
         delay_s = self._limiter.admit(account, boot_seconds(), age_s)
         if not delay_s:
@@ -139,7 +141,7 @@
         now = boot_seconds()
         self._usage.hear(child, now)
         if rows:
-            self._is_used = True
+            self.is_used = True
             self._usage.record(child, rows, now)
 
     def report(self) -> tuple[UsageRow, ...]:
@@ -148,7 +150,7 @@
         Empty within `REPORT_S` of the last one.
         """
         now = boot_seconds()
-        if not self._is_used or now - self._reported_at < REPORT_S:
+        if not self.is_used or now - self._reported_at < REPORT_S:
             return ()
         self._reported_at = now
         self._usage.record(self._name, self._limiter.collect(now), now)
@@ -156,7 +158,7 @@
 
     def receive(self, message: Shares) -> None:
         """Adopt the shares that the parent assigns, and divide them."""
-        self._is_used = True
+        self.is_used = True
         update = SharesUpdate(message.rows, message.is_complete)
         self._shares = update.apply(self._shares)
         self.divide()
@@ -166,7 +168,7 @@
 
         Called with each heartbeat, as demand moves between children.
         """
-        if not self._is_used:
+        if not self.is_used:
             return
         now = boot_seconds()
         self._usage.hear(self._name, now)
--- a/medlarhoist/node/uplink_receiver.py
+++ b/medlarhoist/node/uplink_receiver.py
@@ -22,7 +22,7 @@
 from medlarhoist.node.join import Directory
 from medlarhoist.node.keeper import Keeper
 from medlarhoist.utils.clock import boot_seconds
-from medlarhoist.wire.acks import is_complete, sum_acks
+from medlarhoist.wire.acks import sum_acks
 from medlarhoist.wire.message import (
     Abandoned,
     Ack,
@@ -39,6 +39,8 @@
 
 REPORT_SECONDS: Final = 0.25
 PARENT_BEHIND_SECONDS: Final = 1.5
+# Times of one contact differ by the rounding of ages and the time on the way.
+SAME_CONTACT_SECONDS: Final = 0.2
 MS_PER_SECOND: Final = 1000
 
 
@@ -110,7 +112,7 @@
             self._evaluate_parent(message)
             return self.establish(message)
         if isinstance(message, Activated):
-            self._leader_contact_at = boot_seconds()
+            self._record_contact(boot_seconds())
             _record_times(self._configuration, self._downlink, message)
             return not self._keeper.activate(message.version, message.epoch)
         if isinstance(message, Shares):
@@ -177,15 +179,6 @@
             sent_ms=find_sent_ms(self._cfg),
         )
 
-    def is_complete(self) -> bool:
-        """Return whether the newest acknowledgement can be sent at once.
-
-        It need not wait for the children once all nodes of the subtree have
-        staged the version and all or none have it in force, or once a node
-        has refused it.
-        """
-        return is_complete(self.acks()[-1])
-
     def acks(self) -> list[Ack]:
         """Return the acknowledgements of the subtree, oldest version first."""
         versions = self._configuration.versions_to_acknowledge()
@@ -235,10 +228,24 @@
             self._on_ages(message.ages_ms)
             self._downlink.broadcast(message)
 
+    def _record_contact(self, contact_at: float) -> None:
+        """Record a contact with the leader, and pass it on where it counts.
+
+        Limits of accounts depend on its age. Waiting for the heartbeat of each
+        node on its way would make it old. Contacts that confirm versions are
+        passed on already.
+        """
+        is_later = contact_at > self._leader_contact_at + SAME_CONTACT_SECONDS
+        self._leader_contact_at = max(self._leader_contact_at, contact_at)
+        is_passed_on = bool(self._cfg.revocation_ms)
+        is_used = self._downlink.account_limits.is_used
+        if is_later and is_used and not is_passed_on:
+            self._downlink.send_established()
+
     def _evaluate_parent(self, message: Established) -> None:
         now = time.monotonic()
         contact_at = boot_seconds() - message.age_ms / MS_PER_SECOND
-        self._leader_contact_at = max(self._leader_contact_at, contact_at)
+        self._record_contact(contact_at)
         floor = self._configuration.floor or 0
         if message.version >= max(floor, self._configuration.established):
             self._behind_since = 0
--- a/medlarhoist/node/uplink_sender.py
+++ b/medlarhoist/node/uplink_sender.py
@@ -14,6 +14,7 @@
     Receiver,
     find_sent_ms,
 )
+from medlarhoist.wire.acks import is_complete
 from medlarhoist.wire.message import Ack
 
 COALESCE_SECONDS: Final = 0.1
@@ -87,7 +88,13 @@
             self._changed.clear()
 
     async def _until_complete(self) -> None:
+        """Wait until the newest acknowledgement can be sent.
+
+        It need not wait for the children once all nodes of the subtree have
+        staged the version and all or none have it in force, or once a node
+        has refused it.
+        """
         self._changed.clear()
-        while not self._receiver.is_complete():
+        while not is_complete(self._receiver.acks()[-1]):
             await self._changed.wait()
             self._changed.clear()
