Keep heads of many lines as text and small pieces joined

Cause: a parsed header line takes some 150 bytes, also where its text is four; a piece of a body takes 50 more than its content, and one was kept for each chunk. So 160 clients with heads of 3500 lines or chunks of one byte took far more of a node than they sent. To bound it, heads of more than 100 lines were refused, although the limit of a head is its bytes.

Change: more than 64 headers are kept as text and parsed when they are read. All chunks of one read become one piece, and small pieces of a body are joined. The text of a head is matched without a record for each line, trailers and refused heads are dropped.

--- a/medlarhoist/core/head_check.py
+++ b/medlarhoist/core/head_check.py
@@ -14,7 +14,6 @@
 from medlarhoist.core.headers import Header
 
 HEAD_LIMIT_BYTES: Final = 16_384
-HEADER_LIMIT: Final = 100
 REQUEST_LIMIT_BYTES: Final = 33_554_432
 RESPONSE_LIMIT_BYTES: Final = 1_099_511_627_776
 _LENGTH_DIGITS: Final = 15
@@ -22,12 +21,13 @@
     (b'content-length', b'transfer-encoding'),
 )
 
-_FIELD: Final = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*\r\n"
+# Possessive, as the matcher keeps a record for each line to go back to.
+_FIELD: Final = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]++:[\t\x20-\x7e\x80-\xff]*+\r\n"
 _REQUEST_HEAD: Final = re.compile(
-    rb'[A-Z]{1,24} [\x21-\x7e]+ HTTP/1\.[01]\r\n(?:%b)*\r\n' % _FIELD,
+    rb'[A-Z]{1,24} [\x21-\x7e]+ HTTP/1\.[01]\r\n(?:%b)*+\r\n' % _FIELD,
 )
 _RESPONSE_HEAD: Final = re.compile(
-    rb'HTTP/1\.[01] [1-9][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?\r\n(?:%b)*\r\n'
+    rb'HTTP/1\.[01] [1-9][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?\r\n(?:%b)*+\r\n'
     % _FIELD,
 )
 
@@ -87,8 +87,6 @@
         is_http10: whether the message is HTTP/1.0.
         limit: maximum length of a declared body, bytes.
     """
-    if len(headers) > HEADER_LIMIT:
-        return HeadFault(431, 'too many headers')
     found = [header for header in headers if header[0] in _FRAMING_HEADERS]
     if not found:
         return Framing()
--- a/medlarhoist/core/headers.py
+++ b/medlarhoist/core/headers.py
@@ -4,8 +4,8 @@
 nodes only: they are removed from requests of callers and responses of targets.
 """
 
-from collections.abc import Iterable, Sequence
-from typing import Final
+from collections.abc import Iterable, Iterator, Sequence
+from typing import Final, overload
 
 Header = tuple[bytes, bytes]
 
@@ -40,6 +40,52 @@
 )
 
 
+_LINE_END: Final = b'\r\n'
+# A parsed line takes some 150 bytes besides its text.
+_LIST_LIMIT: Final = 64
+
+
+class PackedHeaders(Sequence[Header]):
+    """Many headers, kept as text: lines may be far shorter than a record.
+
+    Each iteration parses the lines again.
+    """
+
+    __slots__ = ('_text', '_count')
+
+    def __init__(self, headers: Sequence[Header]) -> None:
+        """Write headers as text; their values have no line ends."""
+        self._text = b''.join(
+            b'%b:%b%b' % (*header, _LINE_END) for header in headers
+        )
+        self._count = len(headers)
+
+    def __iter__(self) -> Iterator[Header]:
+        """Yield the headers in their order."""
+        for line in self._text.split(_LINE_END)[:-1]:
+            name, _, value = line.partition(b':')
+            yield name, value
+
+    def __len__(self) -> int:
+        """Return the number of headers."""
+        return self._count
+
+    @overload
+    def __getitem__(self, index: int) -> Header: ...
+
+    @overload
+    def __getitem__(self, index: slice) -> Sequence[Header]: ...
+
+    def __getitem__(self, index: int | slice) -> Header | Sequence[Header]:
+        """Return headers by their position."""
+        return list(self)[index]
+
+
+def pack_headers(headers: list[Header]) -> Sequence[Header]:
+    """Return headers to keep for the time of a call, packed if many."""
+    return headers if len(headers) <= _LIST_LIMIT else PackedHeaders(headers)
+
+
 def find_header(headers: Iterable[Header], name: bytes) -> bytes | None:
     """Return the first value of a header, trimmed; None if it is missing."""
     for key, value in headers:
--- a/medlarhoist/node/proxy/attempt.py
+++ b/medlarhoist/node/proxy/attempt.py
@@ -4,6 +4,8 @@
 to another target.
 """
 
+from collections import deque
+from collections.abc import Sequence
 from typing import Final
 
 from msgspec import Struct
@@ -13,10 +15,15 @@
 from medlarhoist.core.condition import Condition
 from medlarhoist.core.fingerprint import BODY_PREFIX_BYTES, make_fingerprint
 from medlarhoist.core.head_check import Framing
-from medlarhoist.core.headers import Header
+from medlarhoist.core.headers import Header, pack_headers
 from medlarhoist.core.quarantine import Suspicion
 from medlarhoist.core.verdict import Verdict
-from medlarhoist.node.proxy.body import Body, BodyTooLarge, IncompleteBody
+from medlarhoist.node.proxy.body import (
+    Body,
+    BodyTooLarge,
+    IncompleteBody,
+    append_piece,
+)
 
 REPLAY_LIMIT_BYTES: Final = 65_536
 # Statuses that assure a caller that its request has not run and never will.
@@ -125,7 +132,7 @@
     def __init__(self, body: Body) -> None:
         """Wrap the body of a caller's or a node's request."""
         self._body = body
-        self._pieces: list[bytes] = []
+        self._pieces: deque[bytes] = deque()
         self._prefix = b''
         self._size = 0
         self.fault: Exception | None = None
@@ -151,18 +158,18 @@
         return self._body.ended_at
 
     async def read(self, position: int) -> bytes:
-        """Return one piece of the body, or b'' at its end.
+        """Return the next bytes of the body, or b'' at its end.
 
         Args:
-            position: index of the piece. Pieces are read in order; a second
+            position: number of bytes that the attempt has read. A second
                 attempt starts at zero again.
 
         Raises:
             IncompleteBody: the sender disconnected before the end of the body.
             BodyTooLarge: the body is longer than its limit.
         """
-        if position < len(self._pieces):
-            return self._pieces[position]
+        if self._pieces and position < self._size:
+            return b''.join(self._pieces)[position:]
         try:
             piece = await self._body.read()
         except (IncompleteBody, BodyTooLarge) as exc:
@@ -190,7 +197,7 @@
 
     def _store(self, piece: bytes) -> None:
         self._prefix += piece[: BODY_PREFIX_BYTES - len(self._prefix)]
-        self._pieces.append(piece)
+        append_piece(self._pieces, piece)
         self._size += len(piece)
         if self._size > REPLAY_LIMIT_BYTES:
             self._pieces.clear()
@@ -215,7 +222,7 @@
 
     method: bytes
     url: bytes
-    headers: list[Header]
+    headers: Sequence[Header]
     framing: Framing
     body: ReplayableBody
     progress: Progress
@@ -235,3 +242,23 @@
             self.headers,
             (self.body.prefix, self.framing.length),
         )
+
+
+def replace_headers(
+    request: Request,
+    headers: list[Header],
+    *,
+    waits_to_send: bool = False,
+) -> Request:
+    """Return a request with other headers, as it is sent to the next hop.
+
+    Args:
+        request: the request as it was received.
+        headers: headers except those of framing.
+        waits_to_send: see Request.
+    """
+    return replace(
+        request,
+        headers=pack_headers(headers),
+        waits_to_send=waits_to_send,
+    )
--- a/medlarhoist/node/proxy/body.py
+++ b/medlarhoist/node/proxy/body.py
@@ -13,9 +13,20 @@
 HIGH_WATER_BYTES: Final = 65_536
 # Bytes read from a connection at once; asyncio's own limit is four times that.
 READ_BYTES: Final = 65_536
+# Pieces below it are joined, as each object takes some 50 bytes more.
+_SMALL_PIECE_BYTES: Final = 2048
 SetReading = Callable[[bool], None]
 
 
+def append_piece(pieces: deque[bytes], piece: bytes) -> None:
+    """Append received bytes, joined with the last piece if both are small."""
+    is_small = len(piece) < _SMALL_PIECE_BYTES
+    if is_small and pieces and len(pieces[-1]) < _SMALL_PIECE_BYTES:
+        pieces[-1] += piece
+    else:
+        pieces.append(piece)
+
+
 class IncompleteBody(Exception):
     """The connection ended, or became malformed, before the body ended."""
 
@@ -89,7 +100,7 @@
     def feed(self, piece: bytes) -> None:
         """Add received bytes."""
         self.ask_sender = None
-        self._chunks.append(piece)
+        append_piece(self._chunks, piece)
         self.buffered_bytes += len(piece)
         if self.buffered_bytes > HIGH_WATER_BYTES:
             self._set_reading(False)
--- a/medlarhoist/node/proxy/call.py
+++ b/medlarhoist/node/proxy/call.py
@@ -1,6 +1,7 @@
 """Call: the state of one caller's call at its entry node."""
 
 import time
+from collections.abc import Iterable
 
 from medlarhoist.core.admission import CallRequirements
 from medlarhoist.core.deadline import objective_time, start_deadline
@@ -10,8 +11,10 @@
     read_request_id,
 )
 from medlarhoist.core.headers import (
+    Header,
     find_header,
     forward_headers,
+    pack_headers,
 )
 from medlarhoist.core.quarantine import Suspicion
 from medlarhoist.core.resource import Route
@@ -85,6 +88,7 @@
         service: str,
         label: str,
         header_names: HeaderNames,
+        extra: Iterable[Header] = (),
     ) -> None:
         """Start a call whose deadline counts from now.
 
@@ -94,6 +98,7 @@
             service: name of the service that it goes to.
             label: version that it goes to, empty for any version.
             header_names: names of the headers of callers and targets.
+            extra: headers to add to those of the caller.
         """
         head = exchange.head
         self.caller_id = read_request_id(header_names, head.headers)
@@ -120,10 +125,11 @@
         headers = drop_reserved(header_names, forward_headers(head.headers))
         if head.is_old and find_header(headers, b'host') is None:
             headers.append((b'host', service.encode()))
+        headers.extend(extra)
         self.request = Request(
             head.method,
             head.url,
-            headers,
+            pack_headers(headers),
             head.framing,
             self.body,
             Progress(),
--- a/medlarhoist/node/proxy/client.py
+++ b/medlarhoist/node/proxy/client.py
@@ -7,6 +7,7 @@
 import asyncio
 import select
 import socket
+from collections.abc import Sequence
 from typing import Any, Final, Protocol
 
 from medlarhoist.core.head_check import RESPONSE_LIMIT_BYTES, Framing, HeadFault
@@ -309,7 +310,7 @@
             parts.append(_encode_piece(piece, request.framing))
             if not piece:
                 break
-            position += 1
+            position += len(piece)
         request.progress.sent = True
         self._is_request_sent = True
         self._transport.write(b''.join(parts))
@@ -330,14 +331,14 @@
                 piece = await request.body.read(position)
                 self._transport.write(_encode_piece(piece, request.framing))
                 self._is_request_sent = not piece
-                position += 1
+                position += len(piece)
                 if self._writable is not None:
                     await self._writable
         except Exception:  # noqa: WPS424  the body keeps it as its fault
             self._transport.abort()
 
 
-def _write_head(request: Request, headers: list[Header]) -> bytes:
+def _write_head(request: Request, headers: Sequence[Header]) -> bytes:
     return write_request_head(
         request.method,
         request.url,
--- a/medlarhoist/node/proxy/entry.py
+++ b/medlarhoist/node/proxy/entry.py
@@ -16,7 +16,7 @@
     find_parent_id,
     read_request_id,
 )
-from medlarhoist.core.headers import find_header
+from medlarhoist.core.headers import Header, find_header
 from medlarhoist.core.retry import is_retryable
 from medlarhoist.core.route_average import RouteAverages
 from medlarhoist.core.split import Splitter
@@ -64,6 +64,7 @@
 
     __slots__ = (
         '_budgets',
+        '_added_headers',
         '_attempt_count',
         '_parts',
         '_id_prefix',
@@ -81,6 +82,10 @@
             parts: the parts of the proxy that calls pass through.
         """
         self._parts = parts
+        origin = parts.header_names.origin
+        self._added_headers: tuple[Header, ...] = (
+            ((origin, parts.service.encode()),) if origin else ()
+        )
         self._route_averages = RouteAverages()
         self._budgets = RetryBudgets()
         self._attempt_count = 0
@@ -114,17 +119,16 @@
         service = compiled.services[self._splitter.pick(route)]
         label = self._parts.selector.pick_label(compiled, service)
         call = Call(
-            exchange, route, service.name, label, self._parts.header_names
+            exchange,
+            route,
+            service.name,
+            label,
+            self._parts.header_names,
+            self._added_headers,
         )
         call.version = compiled.version
         parent_id = find_parent_id(self._parts.header_names, call.caller_id)
         call.is_nested = self._parts.local.is_running(parent_id)
-        if self._parts.header_names.origin:
-            origin = (
-                self._parts.header_names.origin,
-                self._parts.service.encode(),
-            )
-            call.request.headers.append(origin)
         share = compiled.shares.get(service.name)
         if share is not None:
             call.fallback_label = share.old
--- a/medlarhoist/node/proxy/head.py
+++ b/medlarhoist/node/proxy/head.py
@@ -21,7 +21,7 @@
     check_response_head,
     find_framing,
 )
-from medlarhoist.core.headers import Header, find_header
+from medlarhoist.core.headers import Header, find_header, pack_headers
 from medlarhoist.node.proxy.reader import Head, ParserCallbacks
 
 CHUNKED_LINE: Final = b'transfer-encoding: chunked\r\n'
@@ -73,7 +73,7 @@
         callbacks.url,
         0,
         b'',
-        callbacks.headers,
+        pack_headers(callbacks.headers),
         framing,
         is_old,
         _keeps_alive(callbacks.headers, is_old=is_old),
@@ -110,7 +110,7 @@
         b'',
         parser.get_status_code(),
         callbacks.reason,
-        callbacks.headers,
+        pack_headers(callbacks.headers),
         framing,
         is_old,
         _keeps_alive(callbacks.headers, is_old=is_old),
--- a/medlarhoist/node/proxy/local.py
+++ b/medlarhoist/node/proxy/local.py
@@ -30,7 +30,11 @@
 from medlarhoist.core.resource import Service
 from medlarhoist.core.target import TargetNotice, TargetPhase
 from medlarhoist.core.verdict import SERVER_FAULT_STATUS, Verdict
-from medlarhoist.node.proxy.attempt import Failure, Request
+from medlarhoist.node.proxy.attempt import (
+    Failure,
+    Request,
+    replace_headers,
+)
 from medlarhoist.node.proxy.call_log import log_limit, log_refusal
 from medlarhoist.node.proxy.forwarded import ForwardedCall
 from medlarhoist.node.proxy.pool import ConnectionPool, send_request
@@ -369,7 +373,7 @@
     headers.append((names.deadline, b'%d' % left_ms))
     if names.expected_target and run_id:
         headers.append((names.expected_target, run_id.encode()))
-    return structs.replace(request, headers=headers)
+    return replace_headers(request, headers)
 
 
 def _release_after(slots: Slots, failure: Failure) -> None:
--- a/medlarhoist/node/proxy/peer.py
+++ b/medlarhoist/node/proxy/peer.py
@@ -24,6 +24,7 @@
     TOKEN_HEADER,
     Header,
     forward_headers,
+    pack_headers,
 )
 from medlarhoist.core.load_headers import format_load, parse_requirements
 from medlarhoist.core.quarantine import parse_suspicion
@@ -105,7 +106,7 @@
         request = Request(
             exchange.head.method,
             exchange.head.url,
-            forward_headers(exchange.head.headers),
+            pack_headers(forward_headers(exchange.head.headers)),
             exchange.head.framing,
             ReplayableBody(exchange.body),
             progress,
--- a/medlarhoist/node/proxy/reader.py
+++ b/medlarhoist/node/proxy/reader.py
@@ -6,7 +6,7 @@
 progress at a time.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from enum import Enum
 from typing import Any, Final, Protocol
 
@@ -44,7 +44,7 @@
     url: bytes
     status: int
     reason: bytes
-    headers: list[Header]
+    headers: Sequence[Header]
     framing: Framing
     is_old: bool
     keep_alive: bool
@@ -232,6 +232,7 @@
         if self.phase is not Phase.STOPPED:
             self.phase = Phase.STOPPED
             self._buffer.clear()
+            self._callbacks = ParserCallbacks()
             self._handler.on_fault(fault)
 
     def _advance(self) -> None:
@@ -311,38 +312,50 @@
         return True
 
     def _read_chunked(self) -> bool:
-        """Feed the parser up to a possible end of the body.
+        """Decode what is buffered, up to the end of the body.
 
-        The bytes behind it may belong to the next message and stay buffered.
+        The bytes behind it belong to the next message and stay buffered. All
+        content is handed over as one piece, however small its chunks are.
         """
-        received = self._tail + self._buffer
-        end = received.find(HEAD_END)
-        size = len(self._buffer)
-        if end >= 0:
-            size = end + len(HEAD_END) - len(self._tail)
-        raw = bytes(self._buffer[:size])
-        del self._buffer[:size]  # noqa: WPS420
-        self._tail = (self._tail + raw)[-_TAIL_BYTES:]
+        known = len(self._tail)
+        received = self._tail + bytes(self._buffer)
+        position = known
+        while position < len(received) and not self._callbacks.complete:
+            # The parser must not see bytes behind the end of the body.
+            found = received.find(HEAD_END, max(0, position - _TAIL_BYTES))
+            end = len(received) if found < 0 else found + len(HEAD_END)
+            if not self._decode(received[position:end]):
+                return False
+            position = end
+        self._tail = received[max(0, position - _TAIL_BYTES) : position]
+        del self._buffer[: position - known]  # noqa: WPS420
+        return self._emit_content()
+
+    def _decode(self, raw: bytes) -> bool:
+        callbacks = self._callbacks
+        decoded = len(callbacks.body)
         try:
             self._parser.feed_data(raw)
         except (HttpParserError, HttpParserUpgrade):
             self.fail(HeadFault(400, 'malformed chunk'))
             return False
-        has_content = bool(self._callbacks.body)
+        callbacks.headers.clear()
+        has_content = len(callbacks.body) > decoded
         self._framing_bytes = (
             0 if has_content else self._framing_bytes + len(raw)
         )
         if self._framing_bytes > self._head_limit:
             self.fail(HeadFault(400, 'chunk size or trailers too large'))
             return False
-        return self._emit_chunks()
+        return True
 
-    def _emit_chunks(self) -> bool:
+    def _emit_content(self) -> bool:
         callbacks = self._callbacks
-        for piece in callbacks.body:
-            self._body_left -= len(piece)
-            self._handler.on_body(piece)
+        content = b''.join(callbacks.body)
         callbacks.body.clear()
+        self._body_left -= len(content)
+        if content:
+            self._handler.on_body(content)
         if self._body_left < 0:
             self.fail(HeadFault(413, 'body too large'))
             return False
--- a/medlarhoist/node/proxy/reader_test.py
+++ b/medlarhoist/node/proxy/reader_test.py
@@ -4,9 +4,11 @@
 size, split at any position.
 """
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from medlarhoist.node.proxy.body import Body
 from medlarhoist.node.proxy.head import parse_request_head, parse_response_head
 from medlarhoist.node.proxy.reader import MessageReader, Phase
 
@@ -35,6 +37,7 @@
         self.heads = []
         self.faults = []
         self.body = b''
+        self.pieces = 0
 
     def on_head(self, head):
         self.heads.append(head)
@@ -43,6 +46,7 @@
 
     def on_body(self, piece):
         self.body += piece
+        self.pieces += 1
 
     def on_end(self):
         self.messages.append((self.heads[-1].url, self.body))
@@ -85,3 +89,22 @@
         raw = b''.join((start, noise))
         handler = _read(raw, range(0, len(raw), 7), parse)
         assert len(handler.faults) <= 1
+
+
+@pytest.mark.parametrize('content', [b'a', b'\r\n\r\n'])
+def test_small_chunks_of_one_read_are_one_piece(content):
+    """Each object of a piece takes far more than its content."""
+    count = 1000
+    chunk = b'%x\r\n%b\r\n' % (len(content), content)
+    head, _, _ = CHUNKED.partition(b'4\r\n')
+    handler = _read(b'%b%b0\r\n\r\n' % (head, chunk * count), [len(head)])
+    assert handler.messages == [(b'/c', content * count)]
+    assert handler.pieces == 1
+
+
+def test_small_pieces_of_a_body_are_kept_joined():
+    body = Body(lambda is_on: None)
+    for _ in range(10_000):
+        body.feed(b'ab')
+    assert len(body._chunks) <= 10
+    assert body.pop_buffered() == b'ab' * 10_000
--- a/medlarhoist/node/proxy/remote.py
+++ b/medlarhoist/node/proxy/remote.py
@@ -38,7 +38,11 @@
 )
 from medlarhoist.core.quarantine import format_suspicion, parse_suspicion
 from medlarhoist.core.verdict import Verdict
-from medlarhoist.node.proxy.attempt import Failure, Request
+from medlarhoist.node.proxy.attempt import (
+    Failure,
+    Request,
+    replace_headers,
+)
 from medlarhoist.node.proxy.forwarded import ForwardedCall
 from medlarhoist.node.proxy.pool import ConnectionPool, send_request
 from medlarhoist.node.proxy.reader import Head
@@ -120,7 +124,7 @@
             pool = ConnectionPool(address, self._count_malformed)
             self._pools[address] = pool
         headers = [*request.headers, *self._format_call_headers(call)]
-        sent = structs.replace(request, headers=headers, waits_to_send=True)
+        sent = replace_headers(request, headers, waits_to_send=True)
         outcome = await send_request(pool, sent)
         if isinstance(outcome, Failure):
             return structs.replace(outcome, is_unreachable=True)
