--- a/medlarhoist/node/proxy/call.py
+++ b/medlarhoist/node/proxy/call.py
@@ -1,6 +1,5 @@
 """Call: the state of one caller's call at its entry node."""
 
-import time
 from collections.abc import Iterable
 
 from medlarhoist.core.admission import CallRequirements
@@ -90,7 +89,7 @@
         header_names: HeaderNames,
         extra: Iterable[Header] = (),
     ) -> None:
-        """Start a call whose deadline counts from now.
+        """Start a call whose deadline counts from the request's head.
 
         Args:
             exchange: the request of the caller.
@@ -107,7 +106,7 @@
         self.service = service
         self.label = label
         self.fallback_label = label
-        self.started = time.monotonic()
+        self.started = exchange.received_at
         self.deadline = start_deadline(
             self.started,
             find_header(head.headers, header_names.deadline),
