Take no bytes without a status or an id for an answer

Cause: statuses from 600 to 999 were passed on, and a 101 that no request asks for was skipped like a 100, so that what followed it was taken for the answer. The bytes that a faulty target sends after an answer were taken for that of the next request on the connection where they had no id, unless they had the form of a refusal.

Change: a status is 100 to 599, and a 101 is malformed: the client gets 502, the request may have run, the connection is closed and the failure is evidence, as for other bytes that are no answer. Where a run has echoed the id of a request, a response without it belongs to no request that has one (core/answer_ids.py): 502, and counted as crossed.

--- a/medlarhoist/core/head_check.py
+++ b/medlarhoist/core/head_check.py
@@ -27,7 +27,7 @@
     rb'[A-Z]{1,24} [\x21-\x7e]+ HTTP/1\.[01]\r\n(?:%b)*+\r\n' % _FIELD,
 )
 _RESPONSE_HEAD: Final = re.compile(
-    rb'HTTP/1\.[01] [1-9][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?\r\n(?:%b)*+\r\n'
+    rb'HTTP/1\.[01] [1-5][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?\r\n(?:%b)*+\r\n'
     % _FIELD,
 )
 
--- a/medlarhoist/node/proxy/client.py
+++ b/medlarhoist/node/proxy/client.py
@@ -31,6 +31,7 @@
 # Informational responses before one response; more are a fault of the sender.
 INFORMATIONAL_LIMIT: Final = 16
 _CONTINUE_STATUS: Final = 100
+_SWITCH_STATUS: Final = 101
 _EXPECT_CONTINUE: Final = (b'expect', b'100-continue')
 _NO_BODY_STATUS: Final = frozenset((204, 304))
 
@@ -295,6 +296,9 @@
         if self._informational > INFORMATIONAL_LIMIT:
             fault = HeadFault(502, 'too many informational responses')
             self._reader.fail(fault)
+        elif status == _SWITCH_STATUS:
+            # No request asks for it, and what follows is no HTTP/1.1.
+            self._reader.fail(HeadFault(502, 'unasked switch of protocols'))
         elif status == _CONTINUE_STATUS:
             self._resume_sending()
 
--- a/medlarhoist/node/proxy/faulty_target_test.py
+++ b/medlarhoist/node/proxy/faulty_target_test.py
@@ -68,6 +68,34 @@
     assert len(heads) == 2
 
 
+@pytest.mark.parametrize('hops', [1, 2])
+@pytest.mark.parametrize('status', [b'200 OK', b'503 Full', b'404 None'])
+def test_an_answer_without_the_echoed_id_is_not_delivered(
+    run_mesh, serve_raw, status, hops
+):
+    """A faulty target sends more after an answer, once the next one runs."""
+    extra = b'HTTP/1.1 %b\r\n%b' % (status, EMPTY)
+
+    async def send_extra(reader, writer):
+        for prefix in (b'', extra):
+            head = await reader.readuntil(b'\r\n\r\nb')
+            writer.write(prefix + ANSWER % _find_id(head))
+        await asyncio.sleep(1)
+
+    async def scenario(mesh):
+        for _ in range(hops - 1):
+            await mesh.add(registered=False)
+        node = await mesh.add(port=await serve_raw(send_extra))
+        results = [await mesh.post(request_id=f'r{n}') for n in range(3)]
+        return results, node.dump().crossed, mesh.recorder.counts
+
+    (first, second, third), crossed, counts = run_mesh(scenario)
+    assert (first.status, third.status) == (200, 200)
+    assert (second.status, second.verdict) == (502, 'may-have-run')
+    assert crossed == 1
+    assert counts == {('v1', 'failed'): 1, ('v1', 'succeeded'): 2}
+
+
 def test_a_refusal_on_a_new_connection_is_believed(run_mesh, serve_raw):
     """It cannot be a copy of an earlier one, also without an id."""
 
--- a/medlarhoist/node/proxy/local.py
+++ b/medlarhoist/node/proxy/local.py
@@ -12,6 +12,7 @@
 from msgspec import structs
 
 from medlarhoist.core.admission import Load, retry_after_seconds
+from medlarhoist.core.answer_ids import AnswerIds
 from medlarhoist.core.condition import (
     Condition,
     RunCondition,
@@ -20,11 +21,10 @@
 from medlarhoist.core.deadline import left_for_next_hop_ms
 from medlarhoist.core.header_names import (
     HeaderNames,
-    is_mismatched_response,
     is_refusal,
     read_request_id,
 )
-from medlarhoist.core.headers import REQUEST_HEADER, Header, find_header
+from medlarhoist.core.headers import REQUEST_HEADER, Header
 from medlarhoist.core.presence import is_same_run
 from medlarhoist.core.quarantine import shows_completion
 from medlarhoist.core.resource import Service
@@ -59,7 +59,7 @@
     """
 
     __slots__ = (
-        '_echoes_ids',
+        '_answer_ids',
         '_find_service',
         '_header_names',
         '_is_draining',
@@ -92,8 +92,7 @@
         """
         self.suspects = suspects
         self._header_names = header_names
-        # Whether the present run of the target echoes the ids of requests.
-        self._echoes_ids = False
+        self._answer_ids = AnswerIds(header_names)
         self._rng = Random()  # noqa: S311  spreads retries only
         self._find_service = find_service
         self._notice: TargetNotice | None = None
@@ -144,7 +143,7 @@
         self.stated.start_run(notice.run_key)
         if before is None or not is_same_run(before, notice):
             self.suspects.start_run()
-            self._echoes_ids = False
+            self._answer_ids.start_run()
             self._pool.close_idle()
             self._pool = ConnectionPool(
                 notice.address,
@@ -246,7 +245,7 @@
                 self.suspects.end(run, has_completed=has_completed)
 
         response.on_finished(finish)
-        return self._check_response(response, sent, call, run_key)
+        return self._check_response(response, sent, run_key)
 
     def sweep(self, now: float) -> None:
         """Close connections that have been idle for too long.
@@ -282,35 +281,20 @@
         self,
         response: Response,
         sent: Request,
-        call: ForwardedCall,
         run_key: str,
     ) -> Response | Failure:
-        headers = response.head.headers
-        echoed = find_header(headers, REQUEST_HEADER)
-        is_mismatched = echoed is not None and echoed != call.request_id
-        if is_mismatched or is_mismatched_response(
-            self._header_names,
-            sent.headers,
-            headers,
-        ):
-            self.mismatched += 1
-            response.discard()
-            return Failure(Verdict.MAY_HAVE_RUN, 'crossed answer', 502)
-        has_id = echoed is not None or bool(
-            read_request_id(self._header_names, headers),
+        head = response.head
+        fault = self._answer_ids.find_fault(
+            sent.headers, head.status, head.headers
         )
-        is_copy = self._echoes_ids and not has_id
-        self._echoes_ids = self._echoes_ids or has_id
-        has_refused = is_refusal(
-            self._header_names, response.head.status, headers
-        )
-        if has_refused and is_copy:
-            # A copy of an earlier one may come while the request runs.
+        if fault:
             self.mismatched += 1
             response.discard()
-            return Failure(Verdict.MAY_HAVE_RUN, 'refusal without id', 502)
-        self.stated.record(read_condition(self._header_names, run_key, headers))
-        if has_refused:
+            return Failure(Verdict.MAY_HAVE_RUN, fault, 502)
+        self.stated.record(
+            read_condition(self._header_names, run_key, head.headers)
+        )
+        if is_refusal(self._header_names, head.status, head.headers):
             response.close()
             return Failure(
                 Verdict.DID_NOT_RUN,
