Count what clients make a node hold against one budget

Cause: what a connection may hold was bounded, what all of them hold was not.

Change: core/client_memory.py decides on counts of bytes, node/proxy/ client_memory.py keeps them: heads as parsed and forwarded, half-read and kept bodies, requests and answers ahead of their turn, answers that wait for slow readers. A connection counts with 8 KB, which covers an ordinary request; one that holds more is charged for it. Above 75% of the budget, 50% for a client address or a 16th for a connection, the large ones are not read on; above the budget the largest are refused (503 for an incomplete head) or reset. Setting client_memory_mb, 64 by default; three metrics and a log line every 10 s.

Result: client_memory_test.py, which also holds that all counts return to zero.

--- a/medlarhoist/core/settings.py
+++ b/medlarhoist/core/settings.py
@@ -152,6 +152,9 @@
         grace_ms: time from SIGTERM until the process is killed, milliseconds;
             requests that are in progress shortly before are ended.
         quarantine: whether requests that crash their targets are refused.
+        client_memory_mb: memory that the connections of callers and other nodes
+            may hold together, megabytes of 1,048,576 bytes; beyond it the
+            largest are refused or closed. A connection counts with 8 KB.
         logs: how it logs.
     """
 
@@ -170,6 +173,7 @@
     heartbeat_ms: Annotated[int, Meta(ge=100, le=60_000)] = 1000
     grace_ms: Annotated[int, Meta(ge=3000, le=600_000)] = 60_000
     quarantine: bool = True
+    client_memory_mb: Annotated[int, Meta(ge=8, le=65_536)] = 64
     logs: Logs = Logs()
 
 
--- a/medlarhoist/node/metrics.py
+++ b/medlarhoist/node/metrics.py
@@ -60,6 +60,20 @@
     doc='Requests that were no HTTP.',
     family=Family.COUNTER,
 )
+CLIENT_MEMORY: Final = Metric(
+    name='client_memory_bytes',
+    doc='Memory that connections of callers and nodes hold, as counted.',
+)
+CLIENT_PAUSES: Final = Metric(
+    name='client_memory_pauses_total',
+    doc='Times that a connection was not read on for what it held.',
+    family=Family.COUNTER,
+)
+CLIENT_REFUSALS: Final = Metric(
+    name='client_memory_refusals_total',
+    doc='Connections that were refused or closed for what they held.',
+    family=Family.COUNTER,
+)
 CALLS_READ_AHEAD: Final = Metric(
     name='calls_read_ahead_total',
     doc='Calls read while earlier ones of their connection were in progress.',
@@ -131,6 +145,9 @@
     LATENCY_SUM,
     CALL_RETRIES,
     MALFORMED_REQUESTS,
+    CLIENT_MEMORY,
+    CLIENT_PAUSES,
+    CLIENT_REFUSALS,
     CALLS_READ_AHEAD,
     CONNECTION_CALLS_PEAK,
     MISMATCHED_RESPONSES,
@@ -200,6 +217,9 @@
     for metric, number in (
         (CALL_RETRIES, proxy.retries),
         (MALFORMED_REQUESTS, proxy.malformed),
+        (CLIENT_MEMORY, proxy.client_memory_bytes),
+        (CLIENT_PAUSES, proxy.client_memory_paused),
+        (CLIENT_REFUSALS, proxy.client_memory_refused),
         (CALLS_READ_AHEAD, proxy.read_ahead),
         (CONNECTION_CALLS_PEAK, proxy.read_ahead_peak),
         (MISMATCHED_RESPONSES, proxy.crossed),
--- a/medlarhoist/node/metrics_test.py
+++ b/medlarhoist/node/metrics_test.py
@@ -51,6 +51,9 @@
     entry_connections=4,
     peer_connections=5,
     malformed=0,
+    client_memory_bytes=4096,
+    client_memory_paused=9,
+    client_memory_refused=6,
     read_ahead=8,
     read_ahead_peak=5,
     retries=6,
@@ -93,6 +96,9 @@
     assert 'medlarhoist_target_rate_limit 12.5' in rendered
     assert 'medlarhoist_connections{listener="peer"} 5' in rendered
     assert 'medlarhoist_calls_read_ahead_total 8' in rendered
+    assert 'medlarhoist_client_memory_bytes 4096' in rendered
+    assert 'medlarhoist_client_memory_pauses_total 9' in rendered
+    assert 'medlarhoist_client_memory_refusals_total 6' in rendered
     assert 'medlarhoist_connection_calls_peak 5' in rendered
     assert 'direction="sent",kind="Hello"} 90' in rendered
     assert '"refused"' in rendered
--- a/medlarhoist/node/proxy/ahead.py
+++ b/medlarhoist/node/proxy/ahead.py
@@ -171,6 +171,18 @@
         """Return whether no further piece of a response may be kept."""
         return self.kept_bytes >= KEPT_BYTES
 
+    def count_held(self, first: Exchange | None) -> int:
+        """Return the bytes that requests in progress and kept responses take.
+
+        Args:
+            first: the first request in progress, None if there is none.
+        """
+        held = self.kept_bytes if first is None else first.held_bytes
+        if not self._kept:
+            return held
+        requests = sum(kept.exchange.held_bytes for kept in self._kept)
+        return held + requests + self.kept_bytes
+
     def may_read(self, last: Exchange) -> bool:
         """Return whether to read another request behind those in progress.
 
--- a/medlarhoist/node/proxy/attempt.py
+++ b/medlarhoist/node/proxy/attempt.py
@@ -199,8 +199,10 @@
         self._prefix += piece[: BODY_PREFIX_BYTES - len(self._prefix)]
         append_piece(self._pieces, piece)
         self._size += len(piece)
+        self._body.kept_bytes = self._size
         if self._size > REPLAY_LIMIT_BYTES:
             self._pieces.clear()
+            self._body.kept_bytes = 0
             self.is_replayable = False
 
 
--- a/medlarhoist/node/proxy/body.py
+++ b/medlarhoist/node/proxy/body.py
@@ -10,11 +10,14 @@
 from collections.abc import Callable
 from typing import Final
 
+from medlarhoist.core.head_check import HeadFault
+
 HIGH_WATER_BYTES: Final = 65_536
 # Bytes read from a connection at once; asyncio's own limit is four times that.
 READ_BYTES: Final = 65_536
 # Pieces below it are joined, as each object takes some 50 bytes more.
 _SMALL_PIECE_BYTES: Final = 2048
+_TOO_LARGE_STATUS: Final = 413
 SetReading = Callable[[bool], None]
 
 
@@ -39,11 +42,19 @@
     """The body is longer than its limit."""
 
 
+def make_body_fault(fault: HeadFault) -> Exception:
+    """Return the exception by which a body fails that the reader refused."""
+    if fault.status == _TOO_LARGE_STATUS:
+        return BodyTooLarge()
+    return IncompleteBody(fault.reason)
+
+
 class Body:
     """The body of one message, which may still be arriving.
 
     Args:
         buffered_bytes: bytes received and not yet read.
+        kept_bytes: bytes that were read and are kept to be sent again.
         ended: whether no more bytes will be added, also after a failure.
         ended_at: when the last byte was received, seconds of the monotonic
             clock; zero before that.
@@ -60,6 +71,7 @@
         'buffered_bytes',
         'ended',
         'ended_at',
+        'kept_bytes',
     )
 
     def __init__(self, set_reading: SetReading) -> None:
@@ -75,6 +87,7 @@
         self._waiter: asyncio.Future[None] | None = None
         self.ask_sender: Callable[[], None] | None = None
         self.buffered_bytes = 0
+        self.kept_bytes = 0
         self.ended = False
         self.ended_at = float()
 
--- a/medlarhoist/node/proxy/exchange.py
+++ b/medlarhoist/node/proxy/exchange.py
@@ -1,7 +1,7 @@
 """Exchange: one request on an accepted connection and its response."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Final, Protocol
 
 from medlarhoist.core.head_check import Framing
@@ -105,6 +105,12 @@
         self.started = False
         self.finished = False
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes of memory that the request takes."""
+        body = self.body
+        return self.head.weight + body.buffered_bytes + body.kept_bytes
+
     def attach(self, writer: ResponseWriter) -> None:
         """Write the rest of the response to another place.
 
@@ -200,3 +206,6 @@
         replaced by a failure.
         """
         self._writer.break_off(self)
+
+
+Serve = Callable[[Exchange], Awaitable[None]]
--- a/medlarhoist/node/proxy/head.py
+++ b/medlarhoist/node/proxy/head.py
@@ -11,6 +11,7 @@
     HttpResponseParser,
 )
 
+from medlarhoist.core.client_memory import weigh_head
 from medlarhoist.core.head_check import (
     REQUEST_LIMIT_BYTES,
     RESPONSE_LIMIT_BYTES,
@@ -69,15 +70,18 @@
     fault = check_host(callbacks.headers, is_http10=is_old)
     if fault is not None:
         return fault
+    headers = pack_headers(callbacks.headers)
+    records = len(headers) if headers is callbacks.headers else 0
     return parser, Head(
         method,
         callbacks.url,
         0,
         b'',
-        pack_headers(callbacks.headers),
+        headers,
         framing,
         is_old,
         _keeps_alive(callbacks.headers, is_old=is_old),
+        weigh_head(len(raw), records),
     )
 
 
--- a/medlarhoist/node/proxy/listener.py
+++ b/medlarhoist/node/proxy/listener.py
@@ -11,7 +11,9 @@
 from medlarhoist.core.compile import DEFAULT_LIMITS
 from medlarhoist.core.resource import Limits
 from medlarhoist.node.proxy.ahead import ReadAheadCounts
-from medlarhoist.node.proxy.server import FindLimits, Serve, ServerConnection
+from medlarhoist.node.proxy.client_memory import ClientMemory
+from medlarhoist.node.proxy.exchange import Serve
+from medlarhoist.node.proxy.server import FindLimits, ServerConnection
 
 BACKLOG: Final = 1024
 # Linux's number of the option, which the socket module does not name.
@@ -43,6 +45,7 @@
     """A listening address and the connections accepted on it.
 
     Args:
+        client_memory: what the connections hold.
         connections: the open connections.
         is_draining: whether connections close after their current request.
         reads_ahead: whether requests are served while earlier ones of their
@@ -57,6 +60,7 @@
         '_serve',
         '_server',
         '_sock',
+        'client_memory',
         'connections',
         'malformed_requests',
         'find_limits',
@@ -72,6 +76,7 @@
         find_limits: FindLimits = default_limits,
         *,
         reads_ahead: bool = False,
+        client_memory: ClientMemory | None = None,
     ) -> None:
         """Create a listener; start makes it listen.
 
@@ -82,7 +87,10 @@
             find_limits: returns the limits in force for received requests.
             reads_ahead: whether requests are served while earlier ones of
                 their connection are in progress.
+            client_memory: what connections hold, shared with other
+                listeners; None for an account of its own.
         """
+        self.client_memory = client_memory or ClientMemory()
         self.reads_ahead = reads_ahead
         self.read_ahead = ReadAheadCounts()
         self._serve = serve
--- a/medlarhoist/node/proxy/proxy.py
+++ b/medlarhoist/node/proxy/proxy.py
@@ -14,6 +14,7 @@
 from medlarhoist.core.resource import Limits
 from medlarhoist.core.settings import NodeSettings
 from medlarhoist.core.target import TargetNotice
+from medlarhoist.node.proxy.client_memory import ClientMemory
 from medlarhoist.node.proxy.entry import EntryService
 from medlarhoist.node.proxy.listener import Listener
 from medlarhoist.node.proxy.parts import ProxyParts
@@ -35,6 +36,7 @@
 # Time to send the failures of the requests that were given up.
 LAST_RESPONSES_S: Final = 0.2
 _POLL_S: Final = 0.02
+_MEGABYTE: Final = 1_048_576
 
 
 class ProxyDump(Struct, frozen=True, kw_only=True):
@@ -46,6 +48,11 @@
         entry_connections: open connections of callers.
         peer_connections: open connections of other nodes.
         malformed: requests refused as malformed or too large.
+        client_memory_bytes: bytes of memory that connections hold, as counted.
+        client_memory_paused: times that a connection was not read on, for what
+            it held.
+        client_memory_refused: connections that were refused or closed for what
+            they held.
         read_ahead: requests of callers that were read while earlier ones of
             their connection were in progress.
         read_ahead_peak: most requests ever in progress on one connection;
@@ -75,6 +82,9 @@
     entry_connections: int
     peer_connections: int
     malformed: int
+    client_memory_bytes: int
+    client_memory_paused: int
+    client_memory_refused: int
     read_ahead: int
     read_ahead_peak: int
     retries: int
@@ -115,6 +125,7 @@
         '_cfg',
         '_entry',
         '_entry_service',
+        '_memory',
         '_parts',
         '_peer',
         '_sweeper',
@@ -136,12 +147,18 @@
         self._cfg = cfg
         self._parts = parts
         self._entry_service = EntryService(parts)
+        self._memory = ClientMemory(cfg.client_memory_mb * _MEGABYTE)
         self._entry = Listener(
             self._entry_service.serve,
             self._find_limits,
             reads_ahead=True,
+            client_memory=self._memory,
+        )
+        self._peer = Listener(
+            peer_service.serve,
+            lambda: PEER_LIMITS,
+            client_memory=self._memory,
         )
-        self._peer = Listener(peer_service.serve, lambda: PEER_LIMITS)
         self._sweeper: asyncio.Task[None] | None = None
 
     def _find_limits(self) -> Limits:
@@ -246,6 +263,9 @@
             peer_connections=len(self._peer.connections),
             malformed=self._entry.malformed_requests
             + self._peer.malformed_requests,
+            client_memory_bytes=self._memory.budget.used,
+            client_memory_paused=self._memory.paused,
+            client_memory_refused=self._memory.refused,
             read_ahead=self._entry.read_ahead.total,
             read_ahead_peak=self._entry.read_ahead.peak,
             retries=self._entry_service.retries,
@@ -281,6 +301,7 @@
             now = time.monotonic()
             self._entry.sweep(now)
             self._peer.sweep(now)
+            self._memory.sweep()
             self._parts.local.sweep(now)
             self._parts.local.suspects.quarantine.expire(now)
             addresses = self._parts.selector.expire_views()
--- a/medlarhoist/node/proxy/reader.py
+++ b/medlarhoist/node/proxy/reader.py
@@ -38,6 +38,7 @@
         framing: how the body is delimited.
         is_old: whether the message is HTTP/1.0.
         keep_alive: whether the connection may be reused after the message.
+        weight: bytes of memory that it takes while its request runs.
     """
 
     method: bytes
@@ -48,6 +49,7 @@
     framing: Framing
     is_old: bool
     keep_alive: bool
+    weight: int = 0
 
 
 class MessageHandler(Protocol):
@@ -191,6 +193,11 @@
         """Return whether received bytes are not parsed yet."""
         return bool(self._buffer)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the number of received bytes that are not parsed yet."""
+        return len(self._buffer)
+
     def set_limits(self, body_limit: int, head_limit: int) -> None:
         """Set the limits of the messages that follow.
 
@@ -223,17 +230,18 @@
             self.phase = Phase.HEAD
             self._advance()
 
-    def fail(self, fault: HeadFault) -> None:
-        """Stop reading permanently and report the fault, once.
+    def fail(self, fault: HeadFault | None) -> None:
+        """Discard all that is buffered or follows; report the fault, once.
 
         Args:
-            fault: why the message is refused.
+            fault: why the message is refused, None to stop without a report.
         """
         if self.phase is not Phase.STOPPED:
             self.phase = Phase.STOPPED
             self._buffer.clear()
             self._callbacks = ParserCallbacks()
-            self._handler.on_fault(fault)
+            if fault is not None:
+                self._handler.on_fault(fault)
 
     def _advance(self) -> None:
         while self._buffer:
--- a/medlarhoist/node/proxy/server.py
+++ b/medlarhoist/node/proxy/server.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import Any, Final, Protocol
 
 from loguru import logger
@@ -18,16 +18,12 @@
     ReadAheadOwner,
     replace_response,
 )
-from medlarhoist.node.proxy.body import (
-    READ_BYTES,
-    BodyTooLarge,
-    IncompleteBody,
-)
-from medlarhoist.node.proxy.exchange import Exchange
+from medlarhoist.node.proxy.body import READ_BYTES, make_body_fault
+from medlarhoist.node.proxy.client_memory import ConnectionMemory, MemoryOwner
+from medlarhoist.node.proxy.exchange import Exchange, Serve
 from medlarhoist.node.proxy.head import parse_request_head, write_fault
 from medlarhoist.node.proxy.reader import Head, MessageReader, Phase
 from medlarhoist.node.proxy.sockets import (
-    DisconnectCheck,
     close_gracefully,
     has_unread_bytes,
     is_disconnected,
@@ -39,11 +35,10 @@
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
-Serve = Callable[[Exchange], Awaitable[None]]
 FindLimits = Callable[[], Limits]
 
 
-class ConnectionOwner(ReadAheadOwner, Protocol):
+class ConnectionOwner(ReadAheadOwner, MemoryOwner, Protocol):
     """The listener that a connection was accepted by.
 
     Args:
@@ -62,11 +57,11 @@
 
     __slots__ = (
         '_ahead',
-        '_disconnect_check',
         '_exchange',
         '_fault',
         '_has_sent',
         '_last',
+        '_memory',
         '_reader',
         '_received_at',
         '_serve',
@@ -104,7 +99,7 @@
         self._has_sent = False
         self._received_at = float()
         self._transport: Any = None
-        self._disconnect_check = DisconnectCheck(None)
+        self._memory: Any = None
         self._write_buffer: list[bytes] = []
         self._writable: asyncio.Future[None] | None = None
         # When the wait for a request, or for the rest of its head, began.
@@ -121,7 +116,7 @@
     def connection_made(self, transport: Any) -> None:
         """Register with the listener, or abort at CONNECTION_LIMIT."""
         self._transport = transport
-        self._disconnect_check = DisconnectCheck(transport)
+        self._memory = ConnectionMemory(self.listener, transport, self)
         transport.max_size = READ_BYTES
         if len(self.listener.connections) >= CONNECTION_LIMIT:
             transport.abort()
@@ -131,6 +126,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests in progress, as their sender disconnected."""
         self.listener.connections.discard(self)
+        self._memory.close()
         if self._exchange is not None:
             self._exchange.cancel()
         self._ahead.cancel()
@@ -145,6 +141,7 @@
         self._reader.feed(received)
         if self._reader.phase is Phase.PAUSED and self._reader.has_bytes:
             self._read_ahead()
+        self._memory.update()
 
     def eof_received(self) -> bool:
         """Close also after a half-close, which counts as a disconnect."""
@@ -153,6 +150,7 @@
     def pause_writing(self) -> None:
         """Make writers wait."""
         self._writable = asyncio.get_running_loop().create_future()
+        self._memory.update()
 
     def resume_writing(self) -> None:
         """Wake the writers that wait."""
@@ -205,22 +203,13 @@
         elif self._last.body.ended:
             self._fault = fault
         else:
-            too_large = fault.status == 413
-            exc = BodyTooLarge() if too_large else IncompleteBody(fault.reason)
-            self._last.body.fail(exc)
+            self._last.body.fail(make_body_fault(fault))
 
     # Called by exchanges.
 
     def set_reading(self, is_on: bool) -> None:
         """Resume reading from the connection (True) or pause it (False)."""
-        self._disconnect_check.stop()
-        if self._transport.is_closing():
-            return
-        if is_on:
-            self._transport.resume_reading()
-        else:
-            self._transport.pause_reading()
-            self._disconnect_check.start()
+        self._memory.set_reading(is_on)
 
     def will_keep_alive(self, exchange: Exchange) -> bool:
         """Return whether the connection stays open after the response.
@@ -264,6 +253,19 @@
             self._resume_reading()
         else:
             self._refuse(self._fault)
+        self._memory.update()
+
+    def count_held(self) -> int:
+        """Return the bytes that are received or wait for their turn."""
+        held = self._ahead.count_held(self._exchange)
+        return held + self._reader.buffered_bytes
+
+    def give_up(self) -> None:
+        """Refuse an incomplete head, or reset the connection."""
+        if self._exchange is None:
+            self._refuse(HeadFault(503, 'too much memory in use'))
+        else:
+            self.reset()
 
     def break_off(self, exchange: Exchange) -> None:
         """End a response that cannot be completed.
@@ -361,7 +363,7 @@
         if self._transport.is_closing():
             return
         self._ahead.cancel()
-        self._reader.phase = Phase.STOPPED
+        self._reader.fail(None)
         self._waiting_since = time.monotonic()
         self.set_reading(True)
         close_gracefully(self._transport, lambda: self._received_at)
