--- a/medlarhoist/node/proxy/client_memory_test.py
+++ b/medlarhoist/node/proxy/client_memory_test.py
@@ -120,6 +120,27 @@
     assert sum(ran.values()) == 3
 
 
+@pytest.mark.parametrize('lines', [b'', b'Connection: close\r\n'])
+def test_a_client_that_reads_no_answer_is_closed_over_the_budget(
+    run_mesh, open_crowd, lines
+):
+    """Also while the node only waits until it has read the answer."""
+    raw = b'%b%bX-Size: 6000000\r\n\r\n' % (HEAD, lines)
+
+    async def scenario(mesh):
+        node = await mesh.add()
+        budget = node._memory.budget
+        crowd = await open_crowd(mesh, raw, 1)
+        crowd[0][1].transport.pause_reading()
+        await _wait_until(lambda: budget.used > 32 * KILOBYTE)
+        budget.limit = 10_000
+        await _wait_until(lambda: node.dump().client_memory_refused)
+        await _wait_until(lambda: budget.used == 0)
+        return (await mesh.get()).status
+
+    assert run_mesh(scenario) == 200
+
+
 def test_an_incomplete_head_is_refused_as_it_has_not_run(run_mesh, open_crowd):
     raw = b'%b%b' % (HEAD, LONG_LINE)
 
--- a/medlarhoist/node/proxy/server.py
+++ b/medlarhoist/node/proxy/server.py
@@ -262,7 +262,7 @@
 
     def give_up(self) -> None:
         """Refuse an incomplete head, or reset the connection."""
-        if self._exchange is None:
+        if self._exchange is None and self._reader.buffered_bytes:
             self._refuse(HeadFault(503, 'too much memory in use'))
         else:
             self.reset()
