--- a/medlarhoist/core/settings.py
+++ b/medlarhoist/core/settings.py
@@ -155,6 +155,9 @@
         revocation_ms: time after the acceptance of a version within which a
             key that it withdraws must be refused, also by a node that is out
             of touch, milliseconds; zero for no limit.
+        client_memory_mb: memory that the connections of callers and other nodes
+            may hold together, megabytes of 1,048,576 bytes; beyond it the
+            largest are refused or closed. A connection counts with 8 KB.
         logs: how it logs.
     """
 
@@ -174,6 +177,7 @@
     grace_ms: Annotated[int, Meta(ge=3000, le=600_000)] = 60_000
     quarantine: bool = True
     revocation_ms: Annotated[int, Meta(ge=0, le=3_600_000)] = 0
+    client_memory_mb: Annotated[int, Meta(ge=8, le=65_536)] = 64
     logs: Logs = Logs()
 
 
--- a/medlarhoist/node/proxy/account_gate.py
+++ b/medlarhoist/node/proxy/account_gate.py
@@ -8,8 +8,6 @@
 from math import inf
 from typing import Final
 
-from msgspec import structs
-
 from medlarhoist.core.accounts import (
     find_account,
     find_named_account,
@@ -22,7 +20,7 @@
 from medlarhoist.core.headers import Header
 from medlarhoist.core.resource import Account, Route
 from medlarhoist.core.verdict import Verdict
-from medlarhoist.node.proxy.attempt import Failure
+from medlarhoist.node.proxy.attempt import Failure, replace_headers
 from medlarhoist.node.proxy.call import Call
 from medlarhoist.node.proxy.call_log import log_confirmation
 from medlarhoist.node.proxy.running import RunningRequests
@@ -187,7 +185,7 @@
         if not has_accounts(compiled):
             return
         shown = replace_credentials(self._names, call.request.headers, account)
-        call.request = structs.replace(call.request, headers=shown)
+        call.request = replace_headers(call.request, shown)
         call.account = account
         parent_id = find_parent_id(self._names, call.caller_id)
         inherited = self._running.find_account(parent_id)
--- a/medlarhoist/node/proxy/client.py
+++ b/medlarhoist/node/proxy/client.py
@@ -7,6 +7,7 @@
 import asyncio
 import select
 import socket
+from collections.abc import Sequence
 from typing import Any, Final, Protocol
 
 from medlarhoist.core.head_check import RESPONSE_LIMIT_BYTES, Framing, HeadFault
@@ -30,6 +31,7 @@
 # Informational responses before one response; more are a fault of the sender.
 INFORMATIONAL_LIMIT: Final = 16
 _CONTINUE_STATUS: Final = 100
+_SWITCH_STATUS: Final = 101
 _EXPECT_CONTINUE: Final = (b'expect', b'100-continue')
 _NO_BODY_STATUS: Final = frozenset((204, 304))
 
@@ -298,6 +300,9 @@
         if self._informational > INFORMATIONAL_LIMIT:
             fault = HeadFault(502, 'too many informational responses')
             self._reader.fail(fault)
+        elif status == _SWITCH_STATUS:
+            # No request asks for it, and what follows is no HTTP/1.1.
+            self._reader.fail(HeadFault(502, 'unasked switch of protocols'))
         elif status == _CONTINUE_STATUS:
             self._resume_sending()
 
@@ -313,7 +318,7 @@
             parts.append(_encode_piece(piece, request.framing))
             if not piece:
                 break
-            position += 1
+            position += len(piece)
         request.progress.sent = True
         self._is_request_sent = True
         self._transport.write(b''.join(parts))
@@ -334,14 +339,14 @@
                 piece = await request.body.read(position)
                 self._transport.write(_encode_piece(piece, request.framing))
                 self._is_request_sent = not piece
-                position += 1
+                position += len(piece)
                 if self._writable is not None:
                     await self._writable
         except Exception:  # noqa: WPS424  the body keeps it as its fault
             self._transport.abort()
 
 
-def _write_head(request: Request, headers: list[Header]) -> bytes:
+def _write_head(request: Request, headers: Sequence[Header]) -> bytes:
     return write_request_head(
         request.method,
         request.url,
--- a/medlarhoist/node/proxy/entry.py
+++ b/medlarhoist/node/proxy/entry.py
@@ -11,7 +11,7 @@
     find_parent_id,
     read_request_id,
 )
-from medlarhoist.core.headers import find_header
+from medlarhoist.core.headers import Header, find_header
 from medlarhoist.core.resource import Route
 from medlarhoist.core.split import Splitter
 from medlarhoist.core.verdict import Verdict
@@ -40,7 +40,13 @@
         is_draining: whether new calls are refused.
     """
 
-    __slots__ = ('_parts', '_splitter', 'attempts', 'is_draining')
+    __slots__ = (
+        '_added_headers',
+        '_parts',
+        '_splitter',
+        'attempts',
+        'is_draining',
+    )
 
     def __init__(self, parts: ProxyParts) -> None:
         """Start without calls.
@@ -49,6 +55,10 @@
             parts: the parts of the proxy that calls pass through.
         """
         self._parts = parts
+        origin = parts.header_names.origin
+        self._added_headers: tuple[Header, ...] = (
+            ((origin, parts.service.encode()),) if origin else ()
+        )
         self._splitter = Splitter(Random())  # noqa: S311  spreads load only
         self.attempts = CallAttempts(parts)
         self.is_draining = False
@@ -83,16 +93,19 @@
             return
         service = compiled.services[self._splitter.pick(route)]
         label = self._parts.selector.pick_label(compiled, service)
-        call = Call(exchange, route, service.name, label, names)
+        call = Call(
+            exchange,
+            route,
+            service.name,
+            label,
+            names,
+            self._added_headers,
+        )
         call.version = compiled.version
         call.is_nested = self._parts.local.is_running(
             find_parent_id(names, caller_id)
         )
         self._parts.accounts.assign(compiled, call, account)
-        if names.origin:
-            call.request.headers.append(
-                (names.origin, self._parts.service.encode())
-            )
         share = compiled.shares.get(service.name)
         if share is not None:
             call.fallback_label = share.old
--- a/medlarhoist/node/proxy/head.py
+++ b/medlarhoist/node/proxy/head.py
@@ -11,6 +11,7 @@
     HttpResponseParser,
 )
 
+from medlarhoist.core.client_memory import weigh_head
 from medlarhoist.core.head_check import (
     REQUEST_LIMIT_BYTES,
     RESPONSE_LIMIT_BYTES,
@@ -21,7 +22,7 @@
     check_response_head,
     find_framing,
 )
-from medlarhoist.core.headers import Header, find_header
+from medlarhoist.core.headers import Header, find_header, pack_headers
 from medlarhoist.node.proxy.reader import Head, ParserCallbacks
 
 CHUNKED_LINE: Final = b'transfer-encoding: chunked\r\n'
@@ -69,15 +70,18 @@
     fault = check_host(callbacks.headers, is_http10=is_old)
     if fault is not None:
         return fault
+    headers = pack_headers(callbacks.headers)
+    records = len(headers) if headers is callbacks.headers else 0
     return parser, Head(
         method,
         callbacks.url,
         0,
         b'',
-        callbacks.headers,
+        headers,
         framing,
         is_old,
         _keeps_alive(callbacks.headers, is_old=is_old),
+        weigh_head(len(raw), records),
     )
 
 
@@ -111,7 +115,7 @@
         b'',
         parser.get_status_code(),
         callbacks.reason,
-        callbacks.headers,
+        pack_headers(callbacks.headers),
         framing,
         is_old,
         _keeps_alive(callbacks.headers, is_old=is_old),
--- a/medlarhoist/node/proxy/target_headers.py
+++ b/medlarhoist/node/proxy/target_headers.py
@@ -2,12 +2,10 @@
 
 import time
 
-from msgspec import structs
-
 from medlarhoist.core.deadline import left_for_next_hop_ms
 from medlarhoist.core.header_names import HeaderNames
 from medlarhoist.core.headers import REQUEST_HEADER, Header
-from medlarhoist.node.proxy.attempt import Request
+from medlarhoist.node.proxy.attempt import Request, replace_headers
 from medlarhoist.node.proxy.forwarded import ForwardedCall
 
 
@@ -26,4 +24,4 @@
     headers.append((names.deadline, b'%d' % left_ms))
     if names.expected_target and run_id:
         headers.append((names.expected_target, run_id.encode()))
-    return structs.replace(request, headers=headers)
+    return replace_headers(request, headers)
