--- a/medlarhoist/wire/message.py
+++ b/medlarhoist/wire/message.py
@@ -86,7 +86,9 @@
     sent_ms: int = 0
 
 
-class Report(Struct, frozen=True, kw_only=True, tag='report'):
+class Report(
+    Struct, frozen=True, kw_only=True, omit_defaults=True, tag='report'
+):
     """Reports what the nodes of a subtree have counted.
 
     Args:
