--- a/medlarhoist/core/resource.py
+++ b/medlarhoist/core/resource.py
@@ -177,8 +177,8 @@
     name: str
     key_digests: tuple[str, ...] = ()
     priority: int | None = None
-    rate: float = 0
-    burst: float = 0
+    rate: float = float()
+    burst: float = float()
 
 
 class DomainDrain(Struct, frozen=True, kw_only=True, tag='domain-drain'):
--- a/medlarhoist/parser/manifest.py
+++ b/medlarhoist/parser/manifest.py
@@ -122,8 +122,8 @@
     name: str
     key_digests: tuple[str, ...] = ()
     priority: Priority | None = None
-    rate: float = 0
-    burst: float = 0
+    rate: float = float()
+    burst: float = float()
 
 
 class DomainDrainManifest(
@@ -259,8 +259,8 @@
             name=manifest.name,
             key_digests=manifest.key_digests,
             priority=manifest.priority,
-            rate=manifest.rate,
-            burst=manifest.burst,
+            rate=float(manifest.rate),
+            burst=float(manifest.burst),
         )
     if isinstance(manifest, DomainDrainManifest):
         return DomainDrain(name=manifest.name)
--- a/medlarhoist/platform/configuration.py
+++ b/medlarhoist/platform/configuration.py
@@ -80,8 +80,8 @@
     name: str
     keys: tuple[str, ...] = field(name='api_keys', default=())
     priority: Number | None = None
-    rate: Seconds = field(name='rate_per_s', default=0)
-    burst: Seconds = 0
+    rate: Seconds = field(name='rate_per_s', default=float())
+    burst: Seconds = float()
 
 
 class _Document(Struct, kw_only=True):
@@ -192,8 +192,8 @@
         name=account.name,
         key_digests=tuple(digest_key(key.encode()) for key in keys),
         priority=account.priority,
-        rate=account.rate,
-        burst=account.burst,
+        rate=float(account.rate),
+        burst=float(account.burst),
     )
 
 
