Keep the cold rate when the version of a service is learned

Cause: the leader wrote a service anew, field by field, once its first calls had shown its version, and left the cold rate out.

Change: only the version is replaced.

--- a/medlarhoist/source/current_version.py
+++ b/medlarhoist/source/current_version.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 
 from loguru import logger
+from msgspec.structs import replace
 
 from medlarhoist.core.command import Apply, Status
 from medlarhoist.core.evidence import EvidenceRow
@@ -102,12 +103,7 @@
     version = TargetVersion(name=f'{name}/{label}', service=name, label=label)
     service = entry.resource
     assert isinstance(service, Service)
-    updated = Service(
-        name=name,
-        current=label,
-        slots=service.slots,
-        connections=service.connections,
-    )
+    updated = replace(service, current=label)
     return (
         Change(key=key_of(version), resource=version),
         Change(key=entry.key, resource=updated, base=entry.version),
