Use the slots of a target that resets connections as before

Targets that lose an answer by a reset were taken for full ones, and their slots limited for seconds.

Change: resets no longer limit slots, nor count as load. What stays: a request that was not sent has not run, and a loss that another run has outlived makes no suspect.

Tests of the proxy and the soak pass.

--- a/medlarhoist/node/proxy/attempt.py
+++ b/medlarhoist/node/proxy/attempt.py
@@ -42,14 +42,11 @@
             the connection failed before the response.
         has_arrived: whether the request reached a target that refused it.
             False where its node refused it, which puts no load on the target.
-        load: load of the target, as its node reported it with the refusal,
-            or with the reset of a connection by a full target; None if it
-            reported none.
+        load: load of the target, as its node reported it with the refusal;
+            None if it reported none.
         return_s: value of Retry-After, seconds; zero for no such header.
         condition: what the target last stated of itself, None if unknown.
         is_lost: whether the connection was lost before the response.
-        is_reset: whether the receiver reset a new connection within
-            pool.EARLY_RESET_S, as a target does that is full.
         suspicion: what is known of the request if it is suspected to crash
             targets, None if it is not, or if it is unknown. A suspect that
             was refused is not sent to another target.
@@ -64,7 +61,6 @@
     return_s: float = 0
     condition: Condition | None = None
     is_lost: bool = False
-    is_reset: bool = False
     suspicion: Suspicion | None = None
 
     @property
--- a/medlarhoist/node/proxy/client.py
+++ b/medlarhoist/node/proxy/client.py
@@ -67,8 +67,7 @@
     Args:
         fault: why the response is malformed, empty if it is not.
         idle_since: when it was last put into its pool, seconds of the
-            monotonic clock; zero for a new connection.
-        was_reset: whether the remote end has reset it.
+            monotonic clock.
     """
 
     __slots__ = (
@@ -86,7 +85,6 @@
         '_writable',
         'fault',
         'idle_since',
-        'was_reset',
     )
 
     def __init__(self, pool: ConnectionOwner) -> None:
@@ -111,7 +109,6 @@
         self._is_request_sent = False
         self.fault = ''
         self.idle_since = float()
-        self.was_reset = False
 
     @property
     def is_open(self) -> bool:
@@ -134,7 +131,6 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the response in progress, which is incomplete."""
         self._pool.remove(self)
-        self.was_reset = isinstance(exc, ConnectionError)
         if self._response is not None:
             self._response.fail(LostConnection())
         self._resolve(None)
--- a/medlarhoist/node/proxy/local.py
+++ b/medlarhoist/node/proxy/local.py
@@ -159,7 +159,6 @@
         self.cold.set_notice(notice, is_new_run=is_new_run)
         if is_new_run:
             self.suspects.start_run()
-            self._slots.reset_limit.clear()
             self._answer_ids.start_run()
             self._pool.close_idle()
             self._pool = ConnectionPool(
--- a/medlarhoist/node/proxy/observer.py
+++ b/medlarhoist/node/proxy/observer.py
@@ -97,8 +97,6 @@
             call.may_have_run = True
             if failure.is_unreachable:
                 view.record_no_connection(now)
-            elif failure.load is not None:
-                view.record_refusal(now)
             elif self._is_evidence(call, failure):
                 view.record_failure(now)
             return
--- a/medlarhoist/node/proxy/pool.py
+++ b/medlarhoist/node/proxy/pool.py
@@ -17,9 +17,6 @@
 CONNECT_TIMEOUT_S: Final = 0.3
 MAX_IDLE_S: Final = 4.0
 MAX_FRESH_IDLE_S: Final = 1.0
-# A target that is full resets a connection when it accepts it. Later resets are
-# those of requests that it has begun to run.
-EARLY_RESET_S: Final = 0.02
 CountMalformed = Callable[[], None]
 _NOT_REACHABLE: Final = Failure(
     Verdict.DID_NOT_RUN,
@@ -168,8 +165,6 @@
     conn = await pool.acquire(fresh_only=fresh_only)
     if conn is None:
         return _NOT_REACHABLE
-    is_new = not conn.idle_since
-    began = time.monotonic()
     try:
         response = await conn.send(request)
     except BaseException:
@@ -179,7 +174,6 @@
         conn.abort()
         if request.progress.verdict is Verdict.DID_NOT_RUN:
             return _NOT_SENT
-        is_early = time.monotonic() - began < EARLY_RESET_S
         reason = 'connection lost'
         if conn.fault:
             reason = f'malformed response: {conn.fault}'
@@ -188,6 +182,5 @@
             reason,
             502,
             is_lost=not conn.fault,
-            is_reset=conn.was_reset and is_new and is_early,
         )
     return response
--- a/medlarhoist/node/proxy/slots.py
+++ b/medlarhoist/node/proxy/slots.py
@@ -24,7 +24,6 @@
     queue_key,
 )
 from medlarhoist.core.rate_limit import TargetLimiter
-from medlarhoist.core.reset_limit import ResetLimit
 
 CANCEL_HOLD_S: Final = 0.05
 _SMOOTHING: Final = 0.1
@@ -57,7 +56,6 @@
     Args:
         used: slots in use.
         peak: highest number of slots ever in use at once.
-        reset_limit: limits the slots of a target that was full.
     """
 
     __slots__ = (
@@ -69,7 +67,6 @@
         '_timer',
         '_waiters',
         'peak',
-        'reset_limit',
         'used',
     )
 
@@ -80,13 +77,8 @@
             count: returns the present number of slots.
         """
         self._mean_s = INITIAL_BUSY_S
-
-        def count_usable() -> int:  # noqa: WPS430
-            return self.reset_limit.restrict(count(), time.monotonic())
-
-        self._count = count_usable
+        self._count = count
         self._limiter = TargetLimiter()
-        self.reset_limit = ResetLimit()
         self._sample_count = 0
         self._timer: asyncio.TimerHandle | None = None
         self._class_mean_s: dict[tuple[bool, int], float] = {}
