Refuse no waiting call at the notice of a warm target

Cause: each notice of a target set the limit that it has while cold, also where it has none, and calls that had waited for longer than predicted were refused then, nested ones too, whose requests failed.

Change: a notice that neither sets nor ends such a limit changes nothing.

Result: the new test fails without the change.

--- a/medlarhoist/node/proxy/slots.py
+++ b/medlarhoist/node/proxy/slots.py
@@ -119,7 +119,11 @@
             rate: requests per second, zero once it is warm.
             cold_s: for how much longer it is cold, seconds.
         """
-        self._limiter.set_cold(rate, cold_s, time.monotonic())
+        now = time.monotonic()
+        if not rate and not self._limiter.cold_seconds(now):
+            # Notices of warm targets come all the time.
+            return
+        self._limiter.set_cold(rate, cold_s, now)
         self._refuse_late(0)
         self._start_waiters()
 
