Search histories without recursion

Cause: the limit of recursion was raised for the whole interpreter, where the search itself was too deep for a long history.

Change: the search keeps its branches in a list, in the same order. The limit of recursion is left alone; the check is as strict as before.

--- a/bench/history_test.py
+++ b/bench/history_test.py
@@ -7,7 +7,7 @@
 linearizable or not.
 """
 
-import sys
+from collections.abc import Iterator
 from typing import Final
 
 import pytest
@@ -79,13 +79,10 @@
             an unknown outcome come from later reads, by `resolve_unknown`.
     """
     keys = {step.key for step in history}
-    # The search goes as deep as a history is long.
-    sys.setrecursionlimit(max(sys.getrecursionlimit(), 10 * len(history)))
     return all(
         _is_explained(
             tuple(step for step in history if step.key == key),
             Register(),
-            set(),
         )
         for key in keys
     )
@@ -94,21 +91,34 @@
 def _is_explained(
     remaining: tuple[Operation, ...],
     register: Register,
-    tried: set[SearchState],
 ) -> bool:
-    if all(step.outcome == 'unknown' for step in remaining):
-        return True
-    if (remaining, register) in tried:
-        return False
-    tried.add((remaining, register))
+    """Search depth first, without recursion: a history may be long."""
+    tried: set[SearchState] = set()
+    branches: list[Iterator[SearchState]] = [iter([(remaining, register)])]
+    while branches:
+        state = next(branches[-1], None)
+        if state is None:
+            branches.pop()
+        elif all(step.outcome == 'unknown' for step in state[0]):
+            return True
+        elif state not in tried:
+            tried.add(state)
+            branches.append(_next_states(*state))
+    return False
+
+
+def _next_states(
+    remaining: tuple[Operation, ...],
+    register: Register,
+) -> Iterator[SearchState]:
+    """Yield the states after each operation that may be the next one."""
     for step in _next_candidates(remaining):
         rest = tuple(other for other in remaining if other is not step)
         after = _apply(register, step)
-        if after is not None and _is_explained(rest, after, tried):
-            return True
-        if step.outcome == 'unknown' and _is_explained(rest, register, tried):
-            return True
-    return False
+        if after is not None:
+            yield rest, after
+        if step.outcome == 'unknown':
+            yield rest, register
 
 
 def resolve_unknown(history: list[Operation]) -> list[Operation]:
