Start a single node, and read the memory of a process, in one place

Cause: two tests of crowds each had the same start of a source, a node and its target, and the highest memory of a process was read by three functions.

Change: a fixture in bench/conftest.py and read_peak_rss_kb in bench/calls.py, for the tests and for bench.streams. Crowds, bounds and assertions are as they were.

--- a/bench/calls.py
+++ b/bench/calls.py
@@ -219,8 +219,17 @@
 
 def read_rss_kb(pid: int) -> int:
     """Return the resident memory of a process, KiB."""
+    return _read_memory_kb(pid, 'VmRSS')
+
+
+def read_peak_rss_kb(pid: int) -> int:
+    """Return the highest resident memory of a process so far, KiB."""
+    return _read_memory_kb(pid, 'VmHWM')
+
+
+def _read_memory_kb(pid: int, field: str) -> int:
     status = Path(f'/proc/{pid}/status').read_text()
-    line = next(line for line in status.splitlines() if 'VmRSS' in line)
+    line = next(line for line in status.splitlines() if field in line)
     return int(line.split()[1])
 
 
--- a/bench/conftest.py
+++ b/bench/conftest.py
@@ -62,6 +62,35 @@
     return sources
 
 
+@pytest.fixture
+def start_single_node(fleet):
+    """Return a function that starts a source, one node and its target.
+
+    It returns the fleet once the resources given, besides the base resources,
+    are in force and a call is served. Options of the node are set before.
+    """
+
+    def start(*resources):
+        fleet.plan_sources(('a',))
+        fleet.start_source('s1')
+        assert wait_until(lambda: bool(find_leader(fleet)), READY_SECONDS)
+        fleet.plan_node('a1', 'a')
+        fleet.start_node('a1')
+        fleet.start_target('a1', 'bookings', 'v1')
+        await_version(fleet, 0)
+        outcome = put(
+            create_operator(fleet),
+            'base-resources',
+            *resources,
+            *base_resources('v1'),
+        )
+        await_version(fleet, outcome.version)
+        assert wait_until(lambda: serves_all_calls(fleet), READY_SECONDS)
+        return fleet
+
+    return start
+
+
 def await_version(fleet, version):
     """Wait until a version is in force at every node.
 
@@ -107,10 +136,11 @@
         return gossip['alive'] > 1
 
     assert wait_until(lambda: all(map(has_members, mesh.nodes)), READY_SECONDS)
-    wait_until(lambda: _serves_calls(mesh), READY_SECONDS)
+    wait_until(lambda: serves_all_calls(mesh), READY_SECONDS)
 
 
-def _serves_calls(mesh):
+def serves_all_calls(mesh):
+    """Return whether each node serves an ordinary call."""
     return all(
         fetch(mesh.nodes[node].entry, '/seats').status == 200
         for node in mesh.nodes
--- a/bench/crowd_test.py
+++ b/bench/crowd_test.py
@@ -10,12 +10,11 @@
 
 import pytest
 
-from bench.conftest import READY_SECONDS, await_version
+from bench.calls import read_peak_rss_kb
+from bench.conftest import READY_SECONDS, serves_all_calls
 from bench.crowd import chunked_body, request_head, run_crowd
 from bench.fleet import wait_until
-from bench.operator import base_resources, create_operator, find_leader, put
 from medlarhoist.core.resource import Limits
-from medlarhoist.ops.client import fetch
 
 pytestmark = pytest.mark.crowd
 
@@ -81,37 +80,16 @@
 }
 
 
-def read_status(process, field):
-    text = Path(f'/proc/{process.pid}/status').read_text()
-    line = next(line for line in text.splitlines() if line.startswith(field))
-    return int(line.split()[1])
-
-
 def count_descriptors(process):
     return len(list(Path(f'/proc/{process.pid}/fd').iterdir()))
 
 
 @pytest.fixture
-def node(fleet):
-    """Provide a fleet of a source, one node and its target, all ready."""
-    fleet.plan_sources(('a',))
-    fleet.start_source('s1')
-    assert wait_until(lambda: bool(find_leader(fleet)), READY_SECONDS)
-    fleet.plan_node('a1', 'a')
-    fleet.start_node('a1')
-    fleet.start_target('a1', 'bookings', 'v1')
-    await_version(fleet, 0)
-    limits = Limits(head_bytes=HEAD_LIMIT, body_bytes=BODY_LIMIT)
-    outcome = put(
-        create_operator(fleet), 'base-resources', limits, *base_resources('v1')
+def node(start_single_node):
+    """Provide a fleet of one node with low limits, ready."""
+    return start_single_node(
+        Limits(head_bytes=HEAD_LIMIT, body_bytes=BODY_LIMIT)
     )
-    await_version(fleet, outcome.version)
-    assert wait_until(lambda: is_served(fleet), READY_SECONDS)
-    return fleet
-
-
-def is_served(fleet):
-    return fetch(fleet.nodes['a1'].entry, '/seats').status == 200
 
 
 async def exchange(address, request):
@@ -127,7 +105,7 @@
 @pytest.mark.parametrize('payload', CROWDS.values(), ids=CROWDS)
 def test_a_crowd_takes_a_bounded_part_of_a_node(node, payload):
     process = node.processes['a1']
-    rest_kb = read_status(process, 'VmHWM')
+    rest_kb = read_peak_rss_kb(process.pid)
     rest_descriptors = count_descriptors(process)
     crowd = run_crowd(node.nodes['a1'].entry, [payload] * CROWD)
 
@@ -142,12 +120,12 @@
 
     descriptors = asyncio.run(watch())
     assert process.poll() is None
-    assert read_status(process, 'VmHWM') - rest_kb <= GROWTH_LIMIT_KB
+    assert read_peak_rss_kb(process.pid) - rest_kb <= GROWTH_LIMIT_KB
     assert descriptors <= rest_descriptors + CROWD + DESCRIPTORS_MARGIN
-    assert wait_until(lambda: is_served(node), READY_SECONDS)
+    assert wait_until(lambda: serves_all_calls(node), READY_SECONDS)
 
 
-def test_a_single_request_inside_the_limits_is_served(node):
+def test_a_single_request_inside_the_limits_serves_all_calls(node):
     entry = node.nodes['a1'].entry
     statuses = {
         name: asyncio.run(exchange(entry, request))
--- a/bench/streams.py
+++ b/bench/streams.py
@@ -9,12 +9,11 @@
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
-from pathlib import Path
 
 import defopt
 import msgspec
 
-from bench.calls import Fleet, read_rss_kb
+from bench.calls import Fleet, read_peak_rss_kb, read_rss_kb
 from medlarhoist.standin.load_client import Result, open_connection
 
 PIECE_BYTES = 65_536
@@ -23,7 +22,6 @@
 _HEAD_END = b'\r\n\r\n'
 _OK = b'HTTP/1.1 200 OK\r\n'
 _DONE = b'%bContent-Length: 4\r\n\r\ndone' % _OK
-_PEAK_FIELD = 'VmHWM'
 
 _Handle = Callable[
     [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
@@ -169,7 +167,9 @@
         statuses=dict(Counter(result.status for result in results)),
         seconds=round(time.monotonic() - began, 2),
         idle_kb=idle_kb,
-        peak_kb={node: _read_peak_kb(pid) for node, pid in fleet.pids.items()},
+        peak_kb={
+            node: read_peak_rss_kb(pid) for node, pid in fleet.pids.items()
+        },
     )
 
 
@@ -180,13 +180,6 @@
         return await conn.send(raw)
 
 
-def _read_peak_kb(pid: int) -> int:
-    """Return the highest resident memory of a process so far, KiB."""
-    status = Path(f'/proc/{pid}/status').read_text()
-    line = next(line for line in status.splitlines() if _PEAK_FIELD in line)
-    return int(line.split()[1])
-
-
 def main(*, callers: int = 100, size: int = 5_000_000) -> None:
     """Measure every case and print a line for each.
 
