Find the parent of a call once

Cause: the id of a call's parent was derived in the entry and twice more in the account gate, and a method of the local target only asked another object.

Change: the entry derives it once and passes it on; is_running is gone. The gate looks for a credential by find_header.

Result: the tests of the node pass, those of accounts with real processes too; the tests of the gate give the parent's id where they gave the call's.

--- a/medlarhoist/node/proxy/account_gate.py
+++ b/medlarhoist/node/proxy/account_gate.py
@@ -16,8 +16,8 @@
 )
 from medlarhoist.core.compile import Compiled
 from medlarhoist.core.confirmation import Confirmations
-from medlarhoist.core.header_names import HeaderNames, find_parent_id
-from medlarhoist.core.headers import Header
+from medlarhoist.core.header_names import HeaderNames
+from medlarhoist.core.headers import Header, find_header
 from medlarhoist.core.resource import Account, Route
 from medlarhoist.core.verdict import Verdict
 from medlarhoist.node.proxy.attempt import Failure, replace_headers
@@ -99,7 +99,7 @@
         compiled: Compiled,
         route: Route,
         headers: Sequence[Header],
-        caller_id: str,
+        parent_id: str,
     ) -> Account | Failure | None:
         """Return the account whose key a request carries.
 
@@ -107,7 +107,8 @@
             compiled: the configuration that routes the request.
             route: its route.
             headers: its headers.
-            caller_id: the caller's id of the request, empty if it sent none.
+            parent_id: id of the request that its id names as its parent,
+                empty for none.
 
         Returns:
             The account, None where the request needs no key and has no known
@@ -116,12 +117,11 @@
         if not has_accounts(compiled):
             return None
         account = find_account(compiled, self._names, headers)
-        if account is not None and route.anonymous:
+        if account is None:
+            if route.anonymous or self._is_nested(headers, parent_id):
+                return None
+        elif route.anonymous:
             return self._find_excess(account) or account
-        if route.anonymous:
-            return None
-        if account is None and self._is_nested(headers, caller_id):
-            return None
         age_s = self._read_age(compiled.version)
         if account is not None and age_s < (self._lease_s or inf):
             return self._find_excess(account) or account
@@ -131,13 +131,9 @@
         self.unconfirmed += 1
         return _UNCONFIRMED
 
-    def _is_nested(self, headers: Sequence[Header], caller_id: str) -> bool:
+    def _is_nested(self, headers: Sequence[Header], parent_id: str) -> bool:
         """Return whether a request without a key comes from the target."""
-        has_credential = any(
-            name == self._names.credential for name, _ in headers
-        )
-        parent_id = find_parent_id(self._names, caller_id)
-        if has_credential:
+        if find_header(headers, self._names.credential) is not None:
             return False
         return self._running.find_account(parent_id) is not None
 
@@ -171,6 +167,7 @@
         compiled: Compiled,
         call: Call,
         account: Account | None,
+        parent_id: str,
     ) -> None:
         """Set the account of an admitted call, and what its target sees of it.
 
@@ -181,13 +178,13 @@
             compiled: the configuration that routes the call.
             call: the call, whose headers are those of the caller.
             account: the account whose key it carries, None for none.
+            parent_id: as in `admit`.
         """
         if not has_accounts(compiled):
             return
         shown = replace_credentials(self._names, call.request.headers, account)
         call.request = replace_headers(call.request, shown)
         call.account = account
-        parent_id = find_parent_id(self._names, call.caller_id)
         inherited = self._running.find_account(parent_id)
         if account is None and inherited:
             call.account = find_named_account(compiled, inherited)
--- a/medlarhoist/node/proxy/account_gate_test.py
+++ b/medlarhoist/node/proxy/account_gate_test.py
@@ -43,9 +43,9 @@
         contact = Contact(version=version, sent_ms=0, offset_ms=at * 1000)
         self.confirmations.record(contact)
 
-    def admit(self, headers, route=ROUTE, caller_id=''):
+    def admit(self, headers, route=ROUTE, parent_id=''):
         """Return the account, or the status of the refusal."""
-        found = self.gate.admit(COMPILED, route, headers, caller_id)
+        found = self.gate.admit(COMPILED, route, headers, parent_id)
         return found.status if isinstance(found, Failure) else found
 
 
@@ -98,8 +98,8 @@
     anonymous = Route(name='open', prefix='/', service='s', anonymous=True)
     assert gate.admit((), anonymous) is None
     gate.running.add('a1', 'studio', FAR)
-    assert gate.admit((), caller_id='a1.b2') is None
-    assert gate.admit(UNKNOWN, caller_id='a1.b2') == 503
+    assert gate.admit((), parent_id='a1') is None
+    assert gate.admit(UNKNOWN, parent_id='a1') == 503
 
 
 def test_without_a_limit_keys_are_served_for_ever(monkeypatch):
--- a/medlarhoist/node/proxy/entry.py
+++ b/medlarhoist/node/proxy/entry.py
@@ -84,9 +84,9 @@
             return
         names = self._parts.header_names
         headers = exchange.head.headers
-        caller_id = read_request_id(names, headers)
+        parent_id = find_parent_id(names, read_request_id(names, headers))
         account = self._parts.accounts.admit(
-            compiled, route, headers, caller_id
+            compiled, route, headers, parent_id
         )
         if isinstance(account, Failure):
             self._refuse_unrouted(exchange, account)
@@ -102,10 +102,8 @@
             self._added_headers,
         )
         call.version = compiled.version
-        call.is_nested = self._parts.local.is_running(
-            find_parent_id(names, caller_id)
-        )
-        self._parts.accounts.assign(compiled, call, account)
+        call.is_nested = parent_id in self._parts.local.running
+        self._parts.accounts.assign(compiled, call, account, parent_id)
         share = compiled.shares.get(service.name)
         if share is not None:
             call.fallback_label = share.old
--- a/medlarhoist/node/proxy/local.py
+++ b/medlarhoist/node/proxy/local.py
@@ -129,14 +129,6 @@
         """Return the highest number of slots ever in use at once."""
         return self._slots.peak
 
-    def is_running(self, caller_id: str) -> bool:
-        """Return whether the target is processing a caller's request.
-
-        Args:
-            caller_id: the caller's id of the request; empty for no request.
-        """
-        return caller_id in self.running
-
     def set_notice(self, notice: TargetNotice | None) -> None:
         """Update to the target's own notice of its address and phase.
 
