--- a/medlarhoist/core/account_control.py
+++ b/medlarhoist/core/account_control.py
@@ -85,7 +85,8 @@
         """
         is_settled = now - self._started_at >= SETTLE_S
         self._refill(accounts, now)
-        self._charge(accounts, usage, now)
+        part = 1 if is_settled else UNKNOWN_PART
+        self._charge(accounts, usage, now, part)
         shares = {}
         for name, bucket in tuple(self._buckets.items()):
             account = accounts[name]
@@ -116,10 +117,16 @@
         accounts: Mapping[str, Account],
         usage: SubtreeUsage,
         now: float,
+        part: float,
     ) -> None:
-        """Charge the reported requests."""
-        is_settled = now - self._started_at >= SETTLE_S
-        part = 1 if is_settled else UNKNOWN_PART
+        """Charge the reported requests.
+
+        Args:
+            accounts: the accounts by name.
+            usage: the requests that the children report; collected here.
+            now: present time.
+            part: how full a new bucket is taken to be, of its depth.
+        """
         for row in usage.collect(now, limit=len(accounts)):
             account = accounts.get(row.account)
             if account is None or not account.rate:
