--- a/review/8/case.py
+++ b/review/8/case.py
@@ -74,4 +74,4 @@
     return bool(broken)
 
 
-run_case(FOLDER, case)
+run_case(FOLDER / 'record.txt', case)
--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -56,11 +56,11 @@
 
 
 class Record:
-    """Writes what was sent, answered and run to record.txt."""
+    """Writes what was sent, answered and run to a case's record.txt."""
 
-    def __init__(self, folder):
-        """Open record.txt in a folder."""
-        self._file = open(Path(folder) / 'record.txt', 'w')
+    def __init__(self, path):
+        """Open the file, which is written anew."""
+        self._file = open(path, 'w')
         self._started = time.monotonic()
 
     def __call__(self, text):
@@ -274,9 +274,9 @@
 class Fleet:
     """The machines of one run, with their processes and instances."""
 
-    def __init__(self, folder):
-        """Plan no machine yet; record into a folder."""
-        self.record = Record(folder)
+    def __init__(self, record_path):
+        """Plan no machine yet; record into a file."""
+        self.record = Record(record_path)
         self.work = Path(tempfile.mkdtemp(prefix='review-'))
         self.net = find_free_net()
         self.ip = {}
@@ -553,18 +553,18 @@
             fleet.add(f'side-{number}-{index}', f'zone-{number}', service)
 
 
-def run_case(folder, case):
+def run_case(record_path, case):
     """Run a case and exit: 1 broken, 0 held, 2 it could not run.
 
     Args:
-        folder: folder of the case.
+        record_path: the record.txt of the case.
         case: coroutine function of the fleet and of whether the disruption
             takes place; returns whether the rule was broken.
     """
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
 
     async def main():
-        fleet = Fleet(folder)
+        fleet = Fleet(record_path)
         try:
             async with asyncio.timeout(110):
                 broken = await case(fleet, has_trouble)
