--- a/bench/client_budget_test.py
+++ b/bench/client_budget_test.py
@@ -10,7 +10,7 @@
 
 from bench.calls import read_peak_rss_kb
 from bench.conftest import READY_SECONDS, serves_all_calls
-from bench.crowd import request_head, run_crowd
+from bench.crowd import Client, request_head, run_crowd
 from bench.fleet import wait_until
 
 pytestmark = pytest.mark.crowd
@@ -24,17 +24,19 @@
 
 
 @pytest.fixture
-def node(fleet, start_single_node):
+def node(fleet, start_nodes):
     """Provide a fleet of one node with a low budget, ready."""
     fleet.node_options['client_memory_mb'] = BUDGET_MB
-    return start_single_node()
+    return start_nodes()
 
 
 def test_unfinished_bodies_take_no_more_than_the_budget(node):
     process = node.processes['a1']
     rest_kb = read_peak_rss_kb(process.pid)
     payload = request_head(b'POST', b'', UNFINISHED) + b'b' * 60 * KILOBYTE
-    asyncio.run(run_crowd(node.nodes['a1'].entry, [payload] * CROWD))
+    asyncio.run(
+        run_crowd(node.nodes['a1'].entry, map(Client, [payload] * CROWD))
+    )
     assert process.poll() is None
     assert read_peak_rss_kb(process.pid) - rest_kb <= GROWTH_LIMIT_KB
     assert wait_until(lambda: serves_all_calls(node), READY_SECONDS)
--- a/bench/conftest.py
+++ b/bench/conftest.py
@@ -63,20 +63,23 @@
 
 
 @pytest.fixture
-def start_single_node(fleet):
-    """Return a function that starts a source, one node and its target.
+def start_nodes(fleet):
+    """Return a function that starts a source, nodes and one target.
 
-    It returns the fleet once the resources given, besides the base resources,
-    are in force and a call is served. Options of the node are set before.
+    The target runs beside the first node. The function returns the fleet once
+    the resources given, besides the base resources, are in force and each node
+    serves a call. Options of the nodes are set before.
     """
 
-    def start(*resources):
+    def start(*resources, nodes=('a1',)):
         fleet.plan_sources(('a',))
         fleet.start_source('s1')
         assert wait_until(lambda: bool(find_leader(fleet)), READY_SECONDS)
-        fleet.plan_node('a1', 'a')
-        fleet.start_node('a1')
-        fleet.start_target('a1', 'bookings', 'v1')
+        for name in nodes:
+            fleet.plan_node(name, 'a')
+        for name in nodes:
+            fleet.start_node(name)
+        fleet.start_target(nodes[0], 'bookings', 'v1')
         await_version(fleet, 0)
         outcome = put(
             create_operator(fleet),
--- a/bench/crowd_test.py
+++ b/bench/crowd_test.py
@@ -6,13 +6,20 @@
 """
 
 import asyncio
-from pathlib import Path
 
 import pytest
 
 from bench.calls import read_peak_rss_kb
 from bench.conftest import READY_SECONDS, serves_all_calls
-from bench.crowd import chunked_body, request_head, run_crowd
+from bench.crowd import (
+    ODD_LINES,
+    SHORT_LINES,
+    chunked_body,
+    count_descriptors,
+    post,
+    request_head,
+    run_watched_crowd,
+)
 from bench.fleet import wait_until
 from medlarhoist.core.resource import Limits
 
@@ -29,16 +36,9 @@
 # Besides one for each client: to the target and to other processes.
 DESCRIPTORS_MARGIN = 64
 
-CHUNKED = b'Transfer-Encoding: chunked'
-ODD_LINES = b'a:\r\n' * 3500
-SHORT_LINES = b''.join(b'h%d: %d\r\n' % (each, each) for each in range(900))
 ALMOST_LIMIT = BODY_LIMIT - 64 * KILOBYTE
 
 
-def post(body, lines=b'', header=CHUNKED):
-    return request_head(b'POST', lines, header) + body
-
-
 UNFINISHED = b'Content-Length: %d' % (64 * KILOBYTE)
 CROWDS = {
     'heads-of-short-lines-sent-ahead': (request_head(b'GET', SHORT_LINES) * 20),
@@ -80,16 +80,10 @@
 }
 
 
-def count_descriptors(process):
-    return len(list(Path(f'/proc/{process.pid}/fd').iterdir()))
-
-
 @pytest.fixture
-def node(start_single_node):
+def node(start_nodes):
     """Provide a fleet of one node with low limits, ready."""
-    return start_single_node(
-        Limits(head_bytes=HEAD_LIMIT, body_bytes=BODY_LIMIT)
-    )
+    return start_nodes(Limits(head_bytes=HEAD_LIMIT, body_bytes=BODY_LIMIT))
 
 
 async def exchange(address, request):
@@ -106,19 +100,10 @@
 def test_a_crowd_takes_a_bounded_part_of_a_node(node, payload):
     process = node.processes['a1']
     rest_kb = read_peak_rss_kb(process.pid)
-    rest_descriptors = count_descriptors(process)
-    crowd = run_crowd(node.nodes['a1'].entry, [payload] * CROWD)
-
-    async def watch():
-        running = asyncio.create_task(crowd)
-        most = 0
-        while not running.done():
-            most = max(most, count_descriptors(process))
-            await asyncio.sleep(0.2)
-        await running
-        return most
-
-    descriptors = asyncio.run(watch())
+    rest_descriptors = count_descriptors(process.pid)
+    descriptors = run_watched_crowd(
+        node.nodes['a1'].entry, [payload] * CROWD, process.pid
+    )
     assert process.poll() is None
     assert read_peak_rss_kb(process.pid) - rest_kb <= GROWTH_LIMIT_KB
     assert descriptors <= rest_descriptors + CROWD + DESCRIPTORS_MARGIN
