Count what requests in progress and waiting responses really take

Seen by callers: thousands of requests that were begun, or large answers sent ahead, took a node to two to five times its limit of client memory; on the machines of the users the process ends. Cause: a connection counted with 8 KB, whatever went on there; a request in progress takes 20. Up to 256 responses that wait for their turn, with 256 KB each, were not counted. A refused connection kept its heads until its tasks had run, and one turn of the loop reads hundreds of connections, 64 KB each. Connections that were paused at three quarters of the limit waited for one another and kept the slots of targets until their deadlines. Change: 4 KB for a connection, 16 KB for each request in progress, four times a head, the memory of a buffer instead of its length, 256 KB for a response that waits, unread bytes of connections that are not read. A quarter of the limit bounds the responses that wait, 64 on a listener by default. Heads of refused requests are freed at once. Connections are read 16 KB at once, but 112 KB within a body of a declared length. Bodies that could not be read on for 2 s are refused, the largest first. Each default is far above what clients inside the limits reach: 2,400 requests in progress before one is paused.

--- a/medlarhoist/core/client_memory.py
+++ b/medlarhoist/core/client_memory.py
@@ -1,30 +1,37 @@
 """Client memory: what clients make a process hold, and who is refused.
 
-Every connection counts with CONNECTION_BYTES, which covers a request of
-ordinary size. What it holds beyond that is charged to the connection, to the
-address of its client and to the process. A connection that is charged for
-something is large.
+Every connection counts with CONNECTION_BYTES. What it holds beyond that, as
+each of its requests in progress, is charged to the connection, to the address of
+its client and to the process. A connection that is charged for more than an
+ordinary request is large.
 """
 
 from collections.abc import Iterable
 from typing import Final, Protocol, TypeVar
 
-# The objects of a connection and of an ordinary request in progress.
-CONNECTION_BYTES: Final = 8192
+# The objects of a connection without a request.
+CONNECTION_BYTES: Final = 4096
+# The objects of a request in progress, and of the connection that it is sent on.
+REQUEST_BYTES: Final = 16_384
+# A connection with one request, whose head and body are short, is not large.
+_ORDINARY_BYTES: Final = REQUEST_BYTES + 8192
 # Parts of the limit, in which large connections stop to be read.
 _PAUSE_SHARE: Final = 0.75
 _ADDRESS_SHARE: Final = 0.5
 _CONNECTION_SHARE: Final = 1 / 16
+# Of connections that have been paused for long, that much is refused at once.
+_STUCK_SHARE: Final = 1 / 8
 # After refusals, that much is left to connections that are not refused.
 _REFUSE_TO_SHARE: Final = 0.75
-# The text of a head is held as received, as forwarded and as sent.
-_HEAD_COPIES: Final = 3
+# The text of a head is held as received, as forwarded, as sent and in the buffer
+# of the connection that it is sent on.
+_HEAD_COPIES: Final = 4
 # A header line as a record, besides its text.
 _LINE_BYTES: Final = 150
 
 
 class Holding(Protocol):
-    """What a large connection holds.
+    """What a connection holds.
 
     Args:
         address: address of its client, without the port.
@@ -72,7 +79,7 @@
         self.used += change * CONNECTION_BYTES
 
     def charge(self, address: str, change: int) -> None:
-        """Add to what a large connection holds, or subtract from it.
+        """Add to what a connection holds, or subtract from it.
 
         Args:
             address: address of its client, without the port.
@@ -95,7 +102,7 @@
             address: address of its client, without the port.
             charged: bytes that it holds beyond CONNECTION_BYTES.
         """
-        if not charged:
+        if charged <= _ORDINARY_BYTES:
             return True
         by_address = self._by_address.get(address, 0)
         return (
@@ -111,18 +118,33 @@
         holds more, then the older one, until _REFUSE_TO_SHARE is reached.
 
         Args:
-            holdings: the large connections.
+            holdings: the connections that are charged for something.
         """
         if not self.is_exceeded:
             return []
         excess = self.used - self.limit * _REFUSE_TO_SHARE
-        refused: list[AnyHolding] = []
+        return self._pick_largest(holdings, excess)
+
+    def pick_stuck(self, holdings: Iterable[AnyHolding]) -> list[AnyHolding]:
+        """Return the connections to refuse that were not read on for long.
+
+        Their requests hold slots of targets, and may wait for one another alone.
+
+        Args:
+            holdings: connections that have been paused for long within a body.
+        """
+        return self._pick_largest(holdings, self.limit * _STUCK_SHARE)
+
+    def _pick_largest(
+        self, holdings: Iterable[AnyHolding], excess: float
+    ) -> list[AnyHolding]:
+        picked: list[AnyHolding] = []
         for holding in sorted(holdings, key=self._rank):
             if excess <= 0:
                 break
-            refused.append(holding)
+            picked.append(holding)
             excess -= holding.charged + CONNECTION_BYTES
-        return refused
+        return picked
 
     def _rank(self, holding: Holding) -> tuple[int, int, float]:
         by_address = self._by_address.get(holding.address, 0)
--- a/medlarhoist/core/settings.py
+++ b/medlarhoist/core/settings.py
@@ -157,7 +157,8 @@
             of touch, milliseconds; zero for no limit.
         client_memory_mb: memory that the connections of callers and other nodes
             may hold together, megabytes of 1,048,576 bytes; beyond it the
-            largest are refused or closed. A connection counts with 8 KB.
+            largest are refused or closed. A connection counts with 4 KB, a
+            request in progress with 16 KB besides its head and body.
         logs: how it logs.
     """
 
--- a/medlarhoist/node/proxy/ahead.py
+++ b/medlarhoist/node/proxy/ahead.py
@@ -10,15 +10,18 @@
 
 from medlarhoist.core.verdict import Verdict
 from medlarhoist.node.proxy.attempt import BAD_GATEWAY_STATUS, Failure
+from medlarhoist.node.proxy.body import HIGH_WATER_BYTES, READ_BYTES
 from medlarhoist.node.proxy.exchange import Exchange, ResponseWriter
 from medlarhoist.node.proxy.relay import refuse
 
 # Requests in progress on a connection. A caller can have more side by side on
 # further connections, whose number is limited as well.
 IN_PROGRESS_LIMIT: Final = 8
-# Requests read ahead on all connections of a listener. Each may keep a piece of
-# a response beyond KEPT_BYTES, READ_BYTES at most.
-LISTENER_LIMIT: Final = 256
+# A response may keep that much before its turn: a piece that waits for room, and
+# what is received behind it.
+_WAITING_BYTES: Final = 2 * (HIGH_WATER_BYTES + READ_BYTES)
+# Part of the limit of client memory for the responses that wait.
+_WAITING_SHARE: Final = 0.25
 # Bytes of kept responses on a connection, above which the next piece waits.
 KEPT_BYTES: Final = 65_536
 _BROKEN_OFF: Final = Failure(
@@ -33,14 +36,21 @@
 
     Args:
         current: requests in progress behind others.
+        limit: most of them.
         peak: most requests ever in progress on one connection.
         total: requests read ahead since the start.
     """
 
-    __slots__ = ('current', 'peak', 'total')
+    __slots__ = ('current', 'limit', 'peak', 'total')
 
-    def __init__(self) -> None:
-        """Start at zero."""
+    def __init__(self, memory_bytes: int) -> None:
+        """Start at zero.
+
+        Args:
+            memory_bytes: bytes that all clients may hold.
+        """
+        waiting_bytes = memory_bytes * _WAITING_SHARE
+        self.limit = max(1, int(waiting_bytes / _WAITING_BYTES))
         self.current = 0
         self.peak = 0
         self.total = 0
@@ -61,6 +71,13 @@
     read_ahead: ReadAheadCounts
 
 
+class AheadConnection(ResponseWriter, Protocol):
+    """The connection that requests are read ahead on."""
+
+    def update_memory(self) -> None:
+        """Count again what the connection holds."""
+
+
 class KeptResponse:
     """The response to a request that was read ahead, until its turn.
 
@@ -82,7 +99,7 @@
     def __init__(
         self,
         exchange: Exchange,
-        conn: ResponseWriter,
+        conn: AheadConnection,
         queue: 'ReadAhead',
     ) -> None:
         """Keep the response of an exchange.
@@ -118,6 +135,7 @@
         """
         while self._queue.is_full and self._queue.holds(self):
             self.is_write_blocked = True
+            self._conn.update_memory()
             self._room = asyncio.get_running_loop().create_future()
             await self._room
         self.is_write_blocked = False
@@ -177,22 +195,21 @@
         Args:
             first: the first request in progress, None if there is none.
         """
-        held = self.kept_bytes if first is None else first.held_bytes
+        held = 0 if first is None else first.held_bytes
         if not self._kept:
             return held
-        requests = sum(kept.exchange.held_bytes for kept in self._kept)
-        return held + requests + self.kept_bytes
+        return held + self.kept_bytes + sum(map(_count_kept, self._kept))
 
-    def drop_bodies(self, first: Exchange | None) -> None:
-        """Discard the bodies of requests in progress, which then fail.
+    def drop(self, first: Exchange | None) -> None:
+        """Free what was received of requests in progress, which then fail.
 
         Args:
             first: the first request in progress, None if there is none.
         """
         if first is not None:
-            first.body.drop()
+            first.drop()
         for kept in self._kept:
-            kept.exchange.body.drop()
+            kept.exchange.drop()
 
     def may_read(self, last: Exchange) -> bool:
         """Return whether to read another request behind those in progress.
@@ -206,7 +223,7 @@
             return False
         return (
             len(self._kept) + 1 < IN_PROGRESS_LIMIT
-            and self._counts.current < LISTENER_LIMIT
+            and self._counts.current < self._counts.limit
             and not self.is_full
         )
 
@@ -225,7 +242,7 @@
         """Return whether the turn of a response has not come."""
         return kept in self._kept
 
-    def add(self, exchange: Exchange, conn: ResponseWriter) -> None:
+    def add(self, exchange: Exchange, conn: AheadConnection) -> None:
         """Keep the response of another request until its turn.
 
         Args:
@@ -265,6 +282,12 @@
             kept.wake_writer()
 
 
+def _count_kept(kept: KeptResponse) -> int:
+    """Return the bytes that a request takes whose response is kept."""
+    waiting = _WAITING_BYTES if kept.is_write_blocked else 0
+    return kept.exchange.held_bytes + waiting
+
+
 def replace_response(exchange: Exchange) -> None:
     """Replace a response, of which nothing was sent, by a failure.
 
--- a/medlarhoist/node/proxy/body.py
+++ b/medlarhoist/node/proxy/body.py
@@ -15,6 +15,10 @@
 HIGH_WATER_BYTES: Final = 65_536
 # Bytes read from a connection at once; asyncio's own limit is four times that.
 READ_BYTES: Final = 65_536
+# The same on accepted connections. Heads and small chunks take long to parse, and
+# all other connections wait meanwhile.
+HEAD_READ_BYTES: Final = 16_384
+BODY_READ_BYTES: Final = HIGH_WATER_BYTES + READ_BYTES - HEAD_READ_BYTES
 # Pieces below it are joined, as each object takes some 50 bytes more.
 _SMALL_PIECE_BYTES: Final = 2048
 _TOO_LARGE_STATUS: Final = 413
--- a/medlarhoist/node/proxy/client_memory.py
+++ b/medlarhoist/node/proxy/client_memory.py
@@ -11,13 +11,15 @@
 
 from loguru import logger
 
-from medlarhoist.core.client_memory import CONNECTION_BYTES, MemoryBudget
+from medlarhoist.core.client_memory import MemoryBudget
 from medlarhoist.node.proxy.body import HIGH_WATER_BYTES, READ_BYTES
-from medlarhoist.node.proxy.sockets import DisconnectCheck
+from medlarhoist.node.proxy.sockets import DisconnectCheck, count_unread_bytes
 
 DEFAULT_LIMIT_BYTES: Final = 67_108_864
 # What paused connections hold may be used up without an event of their own.
 RECHECK_S: Final = 0.25
+# A connection whose body cannot be read on for longer is refused.
+PAUSE_LIMIT_S: Final = 2.0
 LOG_INTERVAL_S: Final = 10.0
 
 
@@ -38,6 +40,10 @@
     def is_write_blocked(self) -> bool:
         """Return whether writes wait, as the remote end reads too slowly."""
 
+    @property
+    def is_receiving_body(self) -> bool:
+        """Return whether the rest of the body of a request is awaited."""
+
     def count_held(self) -> int:
         """Return the bytes that are received or wait for their turn."""
 
@@ -55,7 +61,7 @@
     """
 
     __slots__ = (
-        '_large',
+        '_charged',
         '_logged_at',
         '_logged_refused',
         '_paused',
@@ -75,7 +81,7 @@
         self.paused = 0
         self.refused = 0
         # Insertion order makes the choice among equal ones reproducible.
-        self._large: dict[ConnectionMemory, None] = {}
+        self._charged: dict[ConnectionMemory, None] = {}
         self._paused: dict[ConnectionMemory, None] = {}
         self._recheck: asyncio.TimerHandle | None = None
         self._logged_at = -LOG_INTERVAL_S
@@ -92,16 +98,15 @@
         memory.charged = charged
         self.budget.charge(memory.address, charged)
         if charged:
-            self._large[memory] = None
-        if self.budget.is_exceeded:
-            self._refuse()
+            self._charged[memory] = None
+        self._refuse_excess()
         self.apply_pause(memory)
 
     def release(self, memory: 'ConnectionMemory') -> None:
         """Stop to charge a connection."""
         self.budget.charge(memory.address, -memory.charged)
         memory.charged = 0
-        self._large.pop(memory, None)
+        self._charged.pop(memory, None)
 
     def forget(self, memory: 'ConnectionMemory') -> None:
         """Remove a closed connection."""
@@ -123,9 +128,10 @@
         memory.set_paused(not may_read)
 
     def sweep(self) -> None:
-        """Count again what large connections hold; called every second."""
-        for memory in tuple(self._large):
+        """Count again what connections hold; called every second."""
+        for memory in tuple(self._charged):
             memory.update()
+        self._refuse_excess()
 
     def _schedule_recheck(self) -> None:
         if self._recheck is None:
@@ -137,14 +143,24 @@
         for memory in tuple(self._paused):
             memory.update()
             self.apply_pause(memory)
+        since = time.monotonic() - PAUSE_LIMIT_S
+        stuck = [each for each in self._paused if each.is_stuck(since)]
+        self._refuse(self.budget.pick_stuck(stuck))
         if self._paused:
             self._schedule_recheck()
 
-    def _refuse(self) -> None:
-        refused = self.budget.pick_refused(self._large)
+    def _refuse_excess(self) -> None:
+        if self.budget.is_exceeded:
+            self._refuse(self.budget.pick_refused(self._charged))
+
+    def _refuse(self, refused: list['ConnectionMemory']) -> None:
+        if not refused:
+            return
         self.refused += len(refused)
         for memory in refused:
             self.release(memory)
+            self._paused.pop(memory, None)
+            memory.is_paused = False
         self._log()
         for each in refused:
             each.give_up()
@@ -156,7 +172,7 @@
             return
         logger.bind(
             refused=self.refused - self._logged_refused,
-            large=len(self._large),
+            charged=len(self._charged),
             limit_bytes=self.budget.limit,
         ).warning('proxy: clients hold too much memory; refusing the largest')
         self._logged_at = now
@@ -170,6 +186,7 @@
         address: address of its client, without the port.
         charged: bytes that it holds beyond CONNECTION_BYTES.
         is_paused: whether it is not read for lack of memory.
+        paused_at: when that began, same clock as opened_at.
         opened_at: when it was accepted, seconds of the monotonic clock.
     """
 
@@ -184,6 +201,7 @@
         'charged',
         'is_paused',
         'opened_at',
+        'paused_at',
     )
 
     def __init__(
@@ -207,6 +225,7 @@
         self.charged = 0
         self.is_paused = False
         self.opened_at = time.monotonic()
+        self.paused_at = self.opened_at
         self._is_open = True
         self._shared.budget.count_connections(1)
 
@@ -214,18 +233,27 @@
         """Count what the connection holds, after it may have changed."""
         held = self._conn.count_held()
         held += self._transport.get_write_buffer_size()
+        if self.is_paused or not self._is_wanted:
+            held += count_unread_bytes(self._transport)
         if self._conn.is_write_blocked:
             # More of the response is received until it waits as well.
             held += HIGH_WATER_BYTES + READ_BYTES
-        charged = held - CONNECTION_BYTES
-        if self._is_open and (charged > 0 or self.charged):
-            self._shared.charge(self, max(charged, 0))
+        if self._is_open and (held != self.charged or self.is_paused):
+            self._shared.charge(self, held)
 
     def close(self) -> None:
         """End the accounts of a closed connection; called once."""
         self._is_open = False
         self._shared.forget(self)
 
+    def is_stuck(self, since: float) -> bool:
+        """Return whether a body has not been read on for long.
+
+        Args:
+            since: when that began at the latest, same clock as opened_at.
+        """
+        return self.paused_at < since and self._conn.is_receiving_body
+
     def give_up(self) -> None:
         """Refuse or close the connection."""
         self._conn.give_up()
@@ -248,4 +276,5 @@
     def set_paused(self, is_paused: bool) -> None:
         """Pause reading for lack of memory (True), or end that (False)."""
         self.is_paused = is_paused
+        self.paused_at = time.monotonic()
         self.set_reading(self._is_wanted)
--- a/medlarhoist/node/proxy/exchange.py
+++ b/medlarhoist/node/proxy/exchange.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Final, Protocol
 
+from medlarhoist.core.client_memory import REQUEST_BYTES
 from medlarhoist.core.head_check import Framing
 from medlarhoist.core.headers import Header, add_headers
 from medlarhoist.node.proxy.body import Body, IncompleteBody
@@ -16,6 +17,9 @@
 )
 from medlarhoist.node.proxy.reader import Head
 
+_DROPPED_HEAD: Final = Head(
+    b'GET', b'/', 0, b'', (), Framing(), is_old=False, keep_alive=False
+)
 _NO_BODY_STATUS: Final = frozenset((204, 304))
 
 
@@ -109,7 +113,13 @@
     def held_bytes(self) -> int:
         """Return the bytes of memory that the request takes."""
         body = self.body
-        return self.head.weight + body.buffered_bytes + body.kept_bytes
+        received = body.buffered_bytes + body.kept_bytes
+        return REQUEST_BYTES + self.head.weight + received
+
+    def drop(self) -> None:
+        """Free what was received of the request, which then fails."""
+        self.body.drop()
+        self.head = _DROPPED_HEAD
 
     def attach(self, writer: ResponseWriter) -> None:
         """Write the rest of the response to another place.
--- a/medlarhoist/node/proxy/listener.py
+++ b/medlarhoist/node/proxy/listener.py
@@ -12,8 +12,9 @@
 from medlarhoist.core.resource import Limits
 from medlarhoist.node.proxy.ahead import ReadAheadCounts
 from medlarhoist.node.proxy.client_memory import ClientMemory
+from medlarhoist.node.proxy.connection_owner import FindLimits
 from medlarhoist.node.proxy.exchange import Serve
-from medlarhoist.node.proxy.server import FindLimits, ServerConnection
+from medlarhoist.node.proxy.server import ServerConnection
 
 BACKLOG: Final = 1024
 # Linux's number of the option, which the socket module does not name.
@@ -92,7 +93,7 @@
         """
         self.client_memory = client_memory or ClientMemory()
         self.reads_ahead = reads_ahead
-        self.read_ahead = ReadAheadCounts()
+        self.read_ahead = ReadAheadCounts(self.client_memory.budget.limit)
         self._serve = serve
         self.find_limits = find_limits
         self._server: asyncio.Server | None = None
--- a/medlarhoist/node/proxy/reader.py
+++ b/medlarhoist/node/proxy/reader.py
@@ -195,8 +195,8 @@
 
     @property
     def buffered_bytes(self) -> int:
-        """Return the number of received bytes that are not parsed yet."""
-        return len(self._buffer)
+        """Return the memory of the received bytes that are not parsed yet."""
+        return self._buffer.__alloc__() if self._buffer else 0
 
     def set_limits(self, body_limit: int, head_limit: int) -> None:
         """Set the limits of the messages that follow.
--- a/medlarhoist/node/proxy/server.py
+++ b/medlarhoist/node/proxy/server.py
@@ -6,21 +6,23 @@
 
 import asyncio
 import time
-from collections.abc import Callable
-from typing import Any, Final, Protocol
+from typing import Any, Final
 
 from loguru import logger
 
 from medlarhoist.core.head_check import HeadFault
 from medlarhoist.core.headers import find_header
-from medlarhoist.core.resource import Limits
-from medlarhoist.node.proxy.ahead import (
-    ReadAhead,
-    ReadAheadOwner,
-    replace_response,
+from medlarhoist.node.proxy.ahead import ReadAhead, replace_response
+from medlarhoist.node.proxy.body import (
+    BODY_READ_BYTES,
+    HEAD_READ_BYTES,
+    make_body_fault,
+)
+from medlarhoist.node.proxy.client_memory import ConnectionMemory
+from medlarhoist.node.proxy.connection_owner import (
+    CONNECTION_LIMIT,
+    ConnectionOwner,
 )
-from medlarhoist.node.proxy.body import READ_BYTES, make_body_fault
-from medlarhoist.node.proxy.client_memory import ConnectionMemory, MemoryOwner
 from medlarhoist.node.proxy.exchange import Exchange, Serve
 from medlarhoist.node.proxy.head import parse_request_head, write_fault
 from medlarhoist.node.proxy.reader import Head, MessageReader, Phase
@@ -31,26 +33,9 @@
     reset_connection,
 )
 
-CONNECTION_LIMIT: Final = 4096
 _MS_PER_SECOND: Final = 1000
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 
-FindLimits = Callable[[], Limits]
-
-
-class ConnectionOwner(ReadAheadOwner, MemoryOwner, Protocol):
-    """The listener that a connection was accepted by.
-
-    Args:
-        connections: the open connections.
-        malformed_requests: number of malformed or too large requests.
-        find_limits: returns the limits in force for received requests.
-    """
-
-    connections: set['ServerConnection']
-    malformed_requests: int
-    find_limits: FindLimits
-
 
 class ServerConnection(asyncio.Protocol):  # noqa: WPS214  a protocol
     """An accepted connection and its requests in progress."""
@@ -117,7 +102,7 @@
         """Register with the listener, or abort at CONNECTION_LIMIT."""
         self._transport = transport
         self._memory = ConnectionMemory(self.listener, transport, self)
-        transport.max_size = READ_BYTES
+        transport.max_size = HEAD_READ_BYTES
         if len(self.listener.connections) >= CONNECTION_LIMIT:
             transport.abort()
             return
@@ -142,6 +127,10 @@
         if self._reader.phase is Phase.PAUSED and self._reader.has_bytes:
             self._read_ahead()
         self._memory.update()
+        is_long = self._reader.phase is Phase.FIXED_LENGTH
+        self._transport.max_size = (
+            BODY_READ_BYTES if is_long else HEAD_READ_BYTES
+        )
 
     def eof_received(self) -> bool:
         """Close also after a half-close, which counts as a disconnect."""
@@ -255,6 +244,15 @@
             self._refuse(self._fault)
         self._memory.update()
 
+    @property
+    def is_receiving_body(self) -> bool:
+        """Return whether the rest of the body of a request is awaited."""
+        return self._reader.phase in {Phase.FIXED_LENGTH, Phase.CHUNKED}
+
+    def update_memory(self) -> None:
+        """Count again what the connection holds."""
+        self._memory.update()
+
     def count_held(self) -> int:
         """Return the bytes that are received or wait for their turn."""
         held = self._ahead.count_held(self._exchange)
@@ -266,7 +264,7 @@
             self._refuse(HeadFault(503, 'too much memory in use'))
             return
         self._reader.fail(None)
-        self._ahead.drop_bodies(self._exchange)
+        self._ahead.drop(self._exchange)
         self.reset()
 
     def break_off(self, exchange: Exchange) -> None:
--- a/medlarhoist/node/proxy/sockets.py
+++ b/medlarhoist/node/proxy/sockets.py
@@ -1,9 +1,12 @@
 """Sockets: states and closes of connections that asyncio does not offer."""
 
 import asyncio
+import fcntl
 import select
 import socket
 import struct
+import sys
+import termios
 import time
 from collections.abc import Callable
 from typing import Any, Final
@@ -15,6 +18,7 @@
 # has left.
 DISCONNECT_CHECK_S: Final = 0.1
 _RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
+_INT_BYTES: Final = struct.calcsize('i')
 _DISCONNECTED: Final = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -41,6 +45,21 @@
     return bool(poll_events(transport, select.POLLIN))
 
 
+def count_unread_bytes(transport: Any) -> int:
+    """Return the received bytes that the loop has not read from the socket."""
+    found = bytearray(_INT_BYTES)
+    try:
+        fcntl.ioctl(
+            transport.get_extra_info('socket').fileno(),
+            termios.FIONREAD,
+            found,
+        )
+    except (OSError, ValueError):
+        # The connection is closed.
+        return 0
+    return int.from_bytes(found, sys.byteorder)
+
+
 def reset_connection(transport: Any) -> None:
     """Close a connection at once with a TCP reset, unless it is closing.
 
