Take the limit of client memory from the memory of the machine

Cause: the limit of 64 MB is a default that fits machines of 200 MB, and the memory that the settings of the platform state was not read. Change: a setting memory_mb; clients may hold half of what it leaves beside the process at its start, if that is less than client_memory_mb. The other half is for the allocator and for all else that a node does.

--- a/medlarhoist/core/client_memory.py
+++ b/medlarhoist/core/client_memory.py
@@ -26,6 +26,10 @@
 # The text of a head is held as received, as forwarded, as sent and in the buffer
 # of the connection that it is sent on.
 _HEAD_COPIES: Final = 4
+# Part of the memory beside that of the process at rest. The rest is for what the
+# allocator cannot use, and for all else.
+_CLIENT_SHARE: Final = 0.5
+_MIN_LIMIT_BYTES: Final = 4_194_304
 # A header line as a record, besides its text.
 _LINE_BYTES: Final = 150
 
@@ -152,6 +156,22 @@
         return -size_class, -by_address, holding.opened_at
 
 
+def find_client_limit(
+    client_bytes: int, memory_bytes: int, resident_bytes: int
+) -> int:
+    """Return the bytes that connections may hold, at least _MIN_LIMIT_BYTES.
+
+    Args:
+        client_bytes: limit of the settings.
+        memory_bytes: memory that the process may use, zero if unknown.
+        resident_bytes: memory of the process without connections.
+    """
+    if not memory_bytes:
+        return client_bytes
+    left = int((memory_bytes - resident_bytes) * _CLIENT_SHARE)
+    return max(min(client_bytes, left), _MIN_LIMIT_BYTES)
+
+
 def weigh_head(size: int, lines: int) -> int:
     """Return the bytes that a parsed head takes while its request runs.
 
--- a/medlarhoist/core/client_memory_test.py
+++ b/medlarhoist/core/client_memory_test.py
@@ -12,6 +12,7 @@
     CONNECTION_BYTES,
     REQUEST_BYTES,
     MemoryBudget,
+    find_client_limit,
     weigh_head,
 )
 
@@ -95,6 +96,19 @@
     assert budget.used == len(holdings) * CONNECTION_BYTES
 
 
+@pytest.mark.parametrize(
+    ('memory_mb', 'resident_mb', 'limit_mb'),
+    [(0, 45, 64), (300, 45, 64), (128, 48, 40), (100, 45, 27), (40, 45, 4)],
+)
+def test_the_limit_leaves_memory_to_the_process(
+    memory_mb, resident_mb, limit_mb
+):
+    limit = find_client_limit(
+        LIMIT, memory_mb * MEGABYTE, resident_mb * MEGABYTE
+    )
+    assert limit // MEGABYTE == limit_mb
+
+
 def test_of_stuck_connections_the_largest_are_refused_first():
     small = _crowd(100, REQUEST_BYTES)
     large = _crowd(100, MEGABYTE // 4)
--- a/medlarhoist/core/settings.py
+++ b/medlarhoist/core/settings.py
@@ -159,6 +159,9 @@
             may hold together, megabytes of 1,048,576 bytes; beyond it the
             largest are refused or closed. A connection counts with 4 KB, a
             request in progress with 16 KB besides its head and body.
+        memory_mb: memory that the process may use, megabytes; connections may
+            hold half of what it leaves beside the process at rest, if that is
+            less than client_memory_mb. Zero if unknown.
         logs: how it logs.
     """
 
@@ -179,6 +182,7 @@
     quarantine: bool = True
     revocation_ms: Annotated[int, Meta(ge=0, le=3_600_000)] = 0
     client_memory_mb: Annotated[int, Meta(ge=8, le=65_536)] = 64
+    memory_mb: Annotated[int, Meta(ge=0, le=1_048_576)] = 0
     logs: Logs = Logs()
 
 
--- a/medlarhoist/node/proxy/proxy.py
+++ b/medlarhoist/node/proxy/proxy.py
@@ -9,6 +9,7 @@
 from msgspec import Struct
 
 from medlarhoist.core.check import BODY_LIMIT_BYTES, HEAD_LIMIT_BYTES
+from medlarhoist.core.client_memory import find_client_limit
 from medlarhoist.core.compile import DEFAULT_LIMITS
 from medlarhoist.core.quarantine import Suspicion
 from medlarhoist.core.resource import Limits
@@ -22,6 +23,7 @@
 from medlarhoist.node.proxy.local import DOMAIN_IS_DRAINED
 from medlarhoist.node.proxy.parts import ProxyParts
 from medlarhoist.node.proxy.peer import PeerService
+from medlarhoist.utils.memory import read_resident_bytes
 
 SWEEP_INTERVAL_S: Final = 1.0
 # The entry node checks the limits of callers. Nodes add headers, so the peer
@@ -172,7 +174,13 @@
         self._parts = parts
         self._drain_log = DrainLog(cfg.domain)
         self._entry_service = EntryService(parts)
-        self._memory = ClientMemory(cfg.client_memory_mb * _MEGABYTE)
+        self._memory = ClientMemory(
+            find_client_limit(
+                cfg.client_memory_mb * _MEGABYTE,
+                cfg.memory_mb * _MEGABYTE,
+                read_resident_bytes(),
+            )
+        )
         self._entry = Listener(
             self._entry_service.serve,
             self._find_limits,
--- a/medlarhoist/platform/settings.py
+++ b/medlarhoist/platform/settings.py
@@ -30,6 +30,12 @@
 _MS_PER_SECOND: Final = 1000
 
 
+class _ProcessLimits(Struct, kw_only=True):
+    """The table `limits` of a process, in megabytes; zero if unknown."""
+
+    memory_mb: int = 0
+
+
 class _Process(Struct, kw_only=True):
     """The table `self`: the process and its VM."""
 
@@ -41,6 +47,7 @@
     data_folder: str | None = field(name='data_dir', default=None)
     service: str | None = None
     target: str | None = field(name='app_addr', default=None)
+    limits: _ProcessLimits = field(default_factory=_ProcessLimits)
 
 
 class _Listen(Struct, kw_only=True):
@@ -213,6 +220,7 @@
         heartbeat_ms=int(settings.platform.heartbeat_s * _MS_PER_SECOND),
         grace_ms=int(bounds.grace_s * _MS_PER_SECOND),
         revocation_ms=int(revocation_s * _MS_PER_SECOND),
+        memory_mb=process.limits.memory_mb,
         logs=Logs(json=True),
     )
 
--- a/medlarhoist/platform/settings_test.py
+++ b/medlarhoist/platform/settings_test.py
@@ -59,6 +59,7 @@
     assert cfg.heartbeat_ms == 1500
     assert cfg.grace_ms == 6000
     assert cfg.revocation_ms == 0
+    assert cfg.memory_mb == 300
     assert [peer.control for peer in cfg.sources] == [
         '10.1.0.45:7600',
         '10.2.0.29:7600',
