Bound the requests that the API and the admin addresses receive

Seen by operators: clients of the resource API, or of the address for metrics and announcements, could end a source or a node: each of 1024 connections may keep a request of 1 MB. Cause: the bytes of a request were bounded for each connection alone, in a buffer that grew by each read. Change: the requests that a listener receives or handles take 8 MB together; beyond it the largest incomplete one is refused with 503 and Retry-After, as nothing of it has run. Pieces are kept as received: buffers that grow side by side leave holes of all their former sizes behind, four times the 8 MB.

--- a/medlarhoist/utils/framing.py
+++ b/medlarhoist/utils/framing.py
@@ -14,6 +14,8 @@
 HEAD_LIMIT_BYTES: Final = 16_384
 BODY_LIMIT_BYTES: Final = 1_048_576
 
+# The object of each received piece.
+_PIECE_BYTES: Final = 64
 METHODS: Final = frozenset((b'GET', b'POST', b'PUT', b'DELETE'))
 
 _HOST: Final = re.compile(rb'[A-Za-z0-9.-]+(:[0-9]{1,5})?')
@@ -27,6 +29,7 @@
     LENGTH_REQUIRED = 411
     TOO_LARGE = 413
     HEAD_TOO_LARGE = 431
+    OVERLOADED = 503
 
 
 class Framer:
@@ -40,6 +43,7 @@
     __slots__ = (
         '_host_headers',
         '_in_head',
+        '_length',
         '_parser',
         '_received',
         'is_complete',
@@ -49,25 +53,39 @@
     def __init__(self) -> None:
         """Create a framer for the next request of a connection."""
         self._parser = HttpRequestParser(self)
-        self._received = bytearray()
+        # A buffer that grows would leave holes of all its former sizes behind.
+        self._received: list[bytes] = []
+        self._length = 0
         self._host_headers = 0
         self._in_head = True
         self.is_complete = False
         self.refusal: Refusal | None = None
 
+    @property
+    def size(self) -> int:
+        """Return the bytes of memory that the request takes."""
+        return self._length + _PIECE_BYTES * len(self._received)
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Refuse the request, if it has not been refused; free its bytes."""
+        self._received.clear()
+        self._length = 0
+        self._refuse(refusal)
+
     def feed(self, chunk: bytes) -> None:
         """Add received bytes; updates is_complete and refusal."""
-        self._received += chunk
+        self._received.append(chunk)
+        self._length += len(chunk)
         try:
             self._parser.feed_data(chunk)
         except (HttpParserError, HttpParserUpgrade):
             self._refuse(Refusal.MALFORMED)
-        if self._in_head and len(self._received) > HEAD_LIMIT_BYTES:
+        if self._in_head and self._length > HEAD_LIMIT_BYTES:
             self._refuse(Refusal.HEAD_TOO_LARGE)
 
     def content(self) -> bytes:
         """Return the bytes received so far."""
-        return bytes(self._received)
+        return b''.join(self._received)
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Check a header; called by the parser."""
--- a/medlarhoist/utils/web.py
+++ b/medlarhoist/utils/web.py
@@ -32,6 +32,8 @@
 )
 JSON_CONTENT_TYPE: Final = 'application/json'
 CONNECTIONS_LIMIT: Final = 1024
+# Bytes of all requests of a listener that are being received or handled.
+PENDING_LIMIT_BYTES: Final = 8_388_608
 MAX_IDLE_SECONDS: Final = 60.0
 SWEEP_INTERVAL_SECONDS: Final = 5.0
 STOP_TIMEOUT_SECONDS: Final = 10.0
@@ -102,6 +104,8 @@
         super().__init__(channel=channel)
         self._framers: dict[Any, Framer] = {}
         self._last_read: dict[Any, float] = {}
+        self._pending: dict[Any, int] = {}
+        self._pending_bytes = 0
 
     def sweep(self, in_progress: Container[Any]) -> None:
         """Close connections without received data for MAX_IDLE_SECONDS.
@@ -127,6 +131,7 @@
     def _on_disconnect(self, sock: Any) -> None:
         self._framers.pop(sock, None)
         self._last_read.pop(sock, None)
+        self.count_pending(sock, 0)
 
     @handler('read', priority=_GUARD_PRIORITY)
     def _on_read(self, event: Any, sock: Any, chunk: bytes) -> None:
@@ -138,16 +143,33 @@
             return
         self._last_read[sock] = time.monotonic()
         framer.feed(chunk)
+        self.count_pending(sock, framer.size)
         if framer.refusal is not None:
             self._refuse(sock, framer.refusal)
         elif framer.is_complete:
             self._framers[sock] = Framer()
             self.fire(read_event(sock, _CheckedRequest(framer.content())))
+        elif self._pending_bytes > PENDING_LIMIT_BYTES:
+            self._refuse_largest()
+
+    def count_pending(self, sock: Any, size: int) -> None:
+        """Set the bytes of the request of a connection, zero for none."""
+        self._pending_bytes += size - self._pending.pop(sock, 0)
+        if size:
+            self._pending[sock] = size
+
+    def _refuse_largest(self) -> None:
+        """Refuse the largest request that has not been received completely."""
+        sock = max(self._framers, key=lambda each: self._framers[each].size)
+        self._framers[sock].refuse(Refusal.OVERLOADED)
+        self._refuse(sock, Refusal.OVERLOADED)
 
     def _refuse(self, sock: Any, refusal: Refusal) -> None:
+        self.count_pending(sock, 0)
         name = refusal.name.replace('_', ' ').title()
+        again = 'Retry-After: 1\r\n' if refusal is Refusal.OVERLOADED else ''
         head = (
-            f'HTTP/1.1 {refusal.value} {name}\r\n'
+            f'HTTP/1.1 {refusal.value} {name}\r\n{again}'
             'Content-Length: 0\r\nConnection: close\r\n\r\n'
         )
         self.fire(write_event(sock, head.encode()))
@@ -220,7 +242,9 @@
     @handler('response_success')
     def _on_response_success(self, response_event: Any, outcome: Any) -> None:
         """Remove a request once its response is in the socket's buffer."""
-        self._tasks.pop(response_event.args[0].request.sock, None)
+        sock = response_event.args[0].request.sock
+        self._tasks.pop(sock, None)
+        self._guard.count_pending(sock, 0)
 
     @handler('exception', channel='*')
     def _on_exception(
--- a/medlarhoist/utils/web_test.py
+++ b/medlarhoist/utils/web_test.py
@@ -63,6 +63,35 @@
     assert response.endswith(b'\r\n\r\nbody1')
 
 
+def test_over_the_limit_of_all_the_largest_incomplete_request_is_refused(
+    monkeypatch,
+):
+    monkeypatch.setattr(web, 'PENDING_LIMIT_BYTES', 50_000)
+    unfinished = b'%bContent-Length: 40000\r\n\r\n' % HEAD
+
+    async def main():
+        host = create_host(asyncio.get_running_loop())
+        site = create_site(host, 'test', '127.0.0.1:0', _echo)
+        name, _, port = site.address.partition(':')
+        streams = []
+        for size in (30_000, 15_000, 6_000):
+            streams.append(await asyncio.open_connection(name, int(port)))
+            streams[-1][1].write(unfinished + b'b' * size)
+            await asyncio.sleep(0.1)
+        refused = await asyncio.wait_for(streams[0][0].read(), timeout=10)
+        streams[1][1].write(b'b' * 25_000)
+        served = await asyncio.wait_for(streams[1][0].readline(), timeout=10)
+        for _, writer in streams:
+            writer.close()
+        await site.stop()
+        return refused, served
+
+    refused, served = asyncio.run(main())
+    assert refused.startswith(b'HTTP/1.1 503 ')
+    assert b'Retry-After: 1\r\n' in refused
+    assert served.startswith(b'HTTP/1.1 201 ')
+
+
 @pytest.mark.parametrize(
     ('tail', 'status'),
     [
