--- a/bench/conftest.py
+++ b/bench/conftest.py
@@ -68,7 +68,8 @@
 
     The target runs beside the first node. The function returns the fleet once
     the resources given, besides the base resources, are in force and each node
-    serves a call. Options of the nodes are set before.
+    serves a call. Options of the nodes are set before. The processes are killed
+    with the test, as a graceful stop would only take time.
     """
 
     def start(*resources, nodes=('a1',)):
@@ -91,7 +92,9 @@
         assert wait_until(lambda: serves_all_calls(fleet), READY_SECONDS)
         return fleet
 
-    return start
+    yield start
+    for name in tuple(fleet.processes):
+        fleet.kill(name)
 
 
 def await_version(fleet, version):
