--- a/bench/known_red.py
+++ b/bench/known_red.py
@@ -4,17 +4,20 @@
 
 Each entry of KNOWN-RED.txt starts with a line `test: NODE_ID`. The run passes
 if the failed tests are exactly the listed ones. It fails if a listed test
-passes or is not run.
+passes or is not run. A test that fails in some runs alone is listed by a line
+`unsteady: NODE_ID` with what was measured; it may pass or fail.
 """
 
 import re
 import subprocess
 import sys
+from collections.abc import Iterable
 from pathlib import Path
 from typing import Final
 
 KNOWN_RED_FILE: Final = Path(__file__).parent.parent / 'KNOWN-RED.txt'
 _ENTRY = re.compile(r'^test:\s*(\S+)', re.MULTILINE)
+_UNSTEADY = re.compile(r'^unsteady:\s*(\S+)', re.MULTILINE)
 _FAILED = re.compile(r'^(?:FAILED|ERROR) (\S+)', re.MULTILINE)
 _SUMMARY = re.compile(r'(\d+) (passed|failed|error|errors)\b')
 _COMPLETED_EXITS = frozenset((0, 1))
@@ -26,6 +29,11 @@
     return frozenset(_ENTRY.findall(text))
 
 
+def parse_unsteady_tests(text: str) -> frozenset[str]:
+    """Return the node ids that KNOWN-RED.txt lists as failing in some runs."""
+    return frozenset(_UNSTEADY.findall(text))
+
+
 def parse_failed_tests(output: str) -> frozenset[str]:
     """Return the node ids that pytest reports as failed or in error."""
     return frozenset(_FAILED.findall(output))
@@ -51,13 +59,16 @@
     exit_code: int,
     failed: frozenset[str],
     known: frozenset[str],
+    unsteady: Iterable[str] = (),
 ) -> bool:
     """Return whether the failures are exactly the known ones.
 
-    False too unless pytest exits with 0 (all passed) or 1 (some failed), such
+    Those of unsteady tests do not count. False too unless pytest exits with 0 (all passed) or 1 (some failed), such
     as after an interrupt or if it collected no tests.
     """
-    return exit_code in _COMPLETED_EXITS and failed == known
+    return (
+        exit_code in _COMPLETED_EXITS and failed.difference(unsteady) == known
+    )
 
 
 def split_commands(arguments: list[str]) -> list[list[str]]:
@@ -79,10 +90,11 @@
     runs = [_run(command) for command in split_commands(sys.argv[1:])]
     text = KNOWN_RED_FILE.read_text() if KNOWN_RED_FILE.exists() else ''
     known = parse_known_tests(text)
+    unsteady = parse_unsteady_tests(text)
     failed = frozenset(
         name for run in runs for name in parse_failed_tests(run.stdout)
     )
-    if known:
+    if known or unsteady:
         sys.stdout.write(f'Known to fail, see KNOWN-RED.txt:\n{text}\n')
     for name in sorted(known - failed):
         sys.stdout.write(f'Listed as known to fail, but did not: {name}\n')
@@ -91,7 +103,8 @@
     sys.stdout.write(f'{passed_count} passed, {failed_count} failed\n')
     codes = [run.returncode for run in runs]
     broken = [code for code in codes if code not in _COMPLETED_EXITS]
-    return 0 if is_accepted(max(broken or codes), failed, known) else 1
+    code = max(broken or codes)
+    return 0 if is_accepted(code, failed, known, unsteady) else 1
 
 
 def _run(command: list[str]) -> subprocess.CompletedProcess[str]:
--- a/bench/known_red_test.py
+++ b/bench/known_red_test.py
@@ -7,6 +7,7 @@
     is_accepted,
     parse_failed_tests,
     parse_known_tests,
+    parse_unsteady_tests,
     split_commands,
 )
 
@@ -36,6 +37,16 @@
     assert is_accepted(exit_code, failed, known) is accepted
 
 
+@pytest.mark.parametrize(
+    ('failed', 'accepted'),
+    [('x', True), ('xu', True), ('u', False), ('xuy', False)],
+)
+def test_an_unsteady_test_may_pass_or_fail(failed, accepted):
+    unsteady = parse_unsteady_tests('unsteady: u seen: 30 MB in 3 of 4 runs')
+    found = is_accepted(1, frozenset(failed), frozenset('x'), unsteady)
+    assert found is accepted
+
+
 def test_commands_are_separated():
     assert split_commands(['a', '-m', 'b', '--then', 'c']) == [
         ['a', '-m', 'b'],
